--- /dev/null
+++ b/src/main/java/gladeknot/http/Outbox.java
@@ -0,0 +1,76 @@
+package gladeknot.http;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the core wants done: calls to other services and answers to requests. The core only fills
+ * it; the event loop carries it out and brings the replies back.
+ */
+public final class Outbox {
+  /** A request to another service; {@code address} is host:port. */
+  public record Call(
+      long id, String address, String method, String path, byte[] body, long timeoutMicros) {}
+
+  /** The answer to a request that was handed to the core. */
+  public record Answer(long request, int status, byte[] body, int retryAfterS) {}
+
+  /** What came back; status 0 says that nothing did, and the call may have been carried out. */
+  public record Reply(int status, byte[] body) {
+    public Map<String, Object> object() {
+      try {
+        return Json.object(body);
+      } catch (java.io.IOException e) {
+        return Map.of();
+      }
+    }
+  }
+
+  /** Takes the reply to one call. */
+  public interface ReplyHandler {
+    void on(Reply reply);
+  }
+
+  private final List<Call> calls = new ArrayList<>();
+  private final List<Answer> answers = new ArrayList<>();
+  private final Map<Long, ReplyHandler> waiting = new HashMap<>();
+  private long nextId = 1;
+
+  public void call(
+      String address, String method, String path, Object body, long timeoutMicros, ReplyHandler h) {
+    long id = nextId++;
+    waiting.put(id, h);
+    byte[] bytes = body == null ? new byte[0] : Json.bytes(body);
+    calls.add(new Call(id, address, method, path, bytes, timeoutMicros));
+  }
+
+  public void answer(long request, int status, Object body) {
+    answers.add(new Answer(request, status, Json.bytes(body), 0));
+  }
+
+  /** Refuses for now and says when to come back. */
+  public void comeBack(long request, int status, String why, int retryAfterS) {
+    answers.add(new Answer(request, status, Json.bytes(Json.of("error", why)), retryAfterS));
+  }
+
+  public void reply(long callId, Reply reply) {
+    ReplyHandler handler = waiting.remove(callId);
+    if (handler != null) {
+      handler.on(reply);
+    }
+  }
+
+  public List<Call> takeCalls() {
+    List<Call> taken = List.copyOf(calls);
+    calls.clear();
+    return taken;
+  }
+
+  public List<Answer> takeAnswers() {
+    List<Answer> taken = List.copyOf(answers);
+    answers.clear();
+    return taken;
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/settings/Settings.java
@@ -0,0 +1,62 @@
+package gladeknot.settings;
+
+import java.util.List;
+import java.util.Map;
+
+/** What the platform hands over; durations in microseconds, sizes in bytes. */
+public record Settings(
+    String node,
+    String zone,
+    String clientListen,
+    String peerListen,
+    List<Member> members,
+    String cloud,
+    String state,
+    List<String> zones,
+    long clockErrorMicros,
+    Map<String, Team> teams,
+    List<Objective> objectives,
+    Workers workers,
+    StateLimits stateLimits,
+    CloudLimits cloudLimits,
+    int maxConnections) {
+
+  /** Another controller. */
+  public record Member(String node, String zone, String address) {}
+
+  /** A team's guarantee and limit; CPUs and GPUs in thousandths. */
+  public record Team(String name, long cpus, long cpusMax, long gpus, long gpusMax) {}
+
+  /** An aim; {@code withinMicros} and {@code times} are 0 where they do not apply. */
+  public record Objective(
+      String kind, String jobClass, long withinMicros, double share, double times) {}
+
+  /** The workers' times. */
+  public record Workers(
+      long reportMicros,
+      long leaseMicros,
+      long gangWaitMicros,
+      long gangPeerMicros,
+      long cancelMicros) {}
+
+  /** What the state service takes. */
+  public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {}
+
+  /** What the cloud takes. */
+  public record CloudLimits(double rps, long listLagMicros) {}
+
+  /** All controllers' names in order, this one's among them; a shard's number is its place here. */
+  public List<String> nodes() {
+    return java.util.stream.Stream.concat(
+            java.util.stream.Stream.of(node), members.stream().map(Member::node))
+        .sorted()
+        .toList();
+  }
+
+  /** The state lease's length: with a worker's lease and a margin it stays below a cancellation. */
+  public long stateLeaseMicros() {
+    long margin = Math.max(3_000_000, workers.cancelMicros / 8);
+    long room = workers.cancelMicros - workers.leaseMicros - margin;
+    return Math.max(1_000_000, Math.min(room, 60_000_000));
+  }
+}
