--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -22,6 +22,10 @@
 public final class Placer {
   private static final Logger LOG = LoggerFactory.getLogger(Placer.class);
   private static final long PASS_MICROS = 40_000;
+
+  /** Workers become usable with time as well: a pass comes now and then in any case. */
+  private static final long AGAIN_MICROS = 400_000;
+
   private static final long CLAIM_AFTER_MICROS = 400_000;
 
   /** Room kept in a record for what else it holds. */
@@ -51,6 +55,7 @@
   private final Map<Integer, List<Need>> needs = new HashMap<>();
   private final Map<String, Budgets.Amount> left = new HashMap<>();
   private long nextMicros;
+  private long againMicros;
   private long nowMicros;
 
   public Placer(
@@ -81,10 +86,11 @@
 
   public void tick(long now) {
     nowMicros = now;
-    if (now < nextMicros || !scheduler.takeChanged()) {
+    if (now < nextMicros || (now < againMicros && !scheduler.takeChanged())) {
       return;
     }
     nextMicros = now + PASS_MICROS;
+    againMicros = now + AGAIN_MICROS;
     for (int shard = 0; shard < membership.shards(); shard++) {
       needs.remove(shard);
       if (membership.commitsFor(shard)) {
@@ -333,9 +339,8 @@
           }
           if (s.waitingSinceMicros == 0) {
             s.waitingSinceMicros = nowMicros;
-            scheduler.touch();
           } else if (nowMicros - s.waitingSinceMicros < CLAIM_AFTER_MICROS) {
-            scheduler.touch();
+            continue;
           } else if (!recorder.busy(s) && !membership.owned().contains(other)) {
             others.add(new Waiting(s, job));
           }
--- a/src/main/java/gladeknot/placement/Recorder.java
+++ b/src/main/java/gladeknot/placement/Recorder.java
@@ -131,6 +131,11 @@
       if (job == null) {
         dropStarts(s);
       }
+      if (!claimsStand(s)) {
+        // The tasks' own shard has started some since: what was decided is dropped.
+        reload(s);
+        continue;
+      }
       int ops = 1 + s.claims.size();
       if (batch.writes().size() + ops > room || bytes > MAX_BYTES) {
         break;
@@ -159,6 +164,18 @@
     return batch;
   }
 
+  /** Whether all tasks that a slice is to take over are still free where they are taken from. */
+  private boolean claimsStand(Slice s) {
+    for (Map.Entry<Slice, BitSet> claim : s.claims.entrySet()) {
+      Slice from = claim.getKey();
+      if (slices.get(from.shard(), from.job()) != from
+          || !claim.getValue().stream().allMatch(from::isTodo)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private void shardCondition(int shard, Batch batch) {
     String key = Membership.shardKey(shard);
     batch.conditions().put(key, ledger.stamp(key));
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -202,6 +202,10 @@
           ended(worker, a, t.cause());
         } else {
           seen(worker, a, t.phase());
+          if (!a.killed() && jobs.active(a.slice().job()) == null) {
+            // Its job was withdrawn while nobody owned the shard, or before we did.
+            kill(a, 0);
+          }
           if (a.killed()) {
             double left = a.graceS - (nowMicros - a.killMicros) / 1e6;
             kills.add(order("kill", t.name(), t.number(), Math.max(0, left)));
@@ -226,7 +230,6 @@
     List<Map<String, Object>> orders = new ArrayList<>(reaps);
     orders.addAll(kills);
     orders.addAll(runs);
-    changed = true;
     return orders;
   }
 
--- /dev/null
+++ b/src/test/java/gladeknot/standin/WorkerStandIn.java
@@ -0,0 +1,164 @@
+package gladeknot.standin;
+
+import gladeknot.http.Json;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToLongFunction;
+
+/** A worker as the protocol has it: sessions, tokens, leases, tasks. */
+public final class WorkerStandIn {
+  /** A task on the machine. */
+  public static final class Task {
+    public final String name;
+    public final long number;
+    public String phase = "running";
+    public String cause = "";
+    long endsMicros;
+
+    Task(String name, long number) {
+      this.name = name;
+      this.number = number;
+    }
+  }
+
+  private final CloudStandIn.Machine machine;
+  private final String endpoint;
+  private final long leaseMicros;
+  private final ToLongFunction<String> runMicros;
+  private final Map<String, Task> tasks = new LinkedHashMap<>();
+  private long tenure = 1;
+  private long tick;
+  private long token;
+  private long renewedMicros;
+  private long nowMicros;
+
+  /** Starts so far, as "task attempt". */
+  public final List<String> starts = new ArrayList<>();
+
+  public WorkerStandIn(
+      CloudStandIn.Machine machine,
+      String endpoint,
+      long leaseMicros,
+      ToLongFunction<String> runMicros,
+      long nowMicros) {
+    this.machine = machine;
+    this.endpoint = endpoint;
+    this.leaseMicros = leaseMicros;
+    this.runMicros = runMicros;
+    this.renewedMicros = nowMicros;
+    this.nowMicros = nowMicros;
+  }
+
+  public String host() {
+    return machine.id;
+  }
+
+  public String zone() {
+    return machine.zone;
+  }
+
+  /** Tasks that are on the machine, the exited ones left out. */
+  public List<Task> live() {
+    return tasks.values().stream().filter(t -> !t.phase.equals("ended")).toList();
+  }
+
+  public void advance(long now) {
+    nowMicros = now;
+    if (now - renewedMicros > leaseMicros) {
+      tasks.clear();
+      tenure++;
+      renewedMicros = now;
+    }
+    for (Task t : tasks.values()) {
+      if (t.phase.equals("running") && now >= t.endsMicros) {
+        t.phase = "ended";
+        t.cause = "done";
+      }
+    }
+  }
+
+  /** Its next report. */
+  public Map<String, Object> report() {
+    tick++;
+    List<Object> list = new ArrayList<>();
+    for (Task t : tasks.values()) {
+      list.add(Json.of("strand", t.name, "try", t.number, "phase", t.phase, "cause", t.cause));
+    }
+    return Json.of(
+        "host",
+        machine.id,
+        "endpoint",
+        endpoint,
+        "hosttype",
+        machine.type,
+        "glade",
+        machine.zone,
+        "loaners",
+        machine.spot,
+        "tenure",
+        tenure,
+        "tick",
+        tick,
+        "fence",
+        token,
+        "recallS",
+        null,
+        "strands",
+        list);
+  }
+
+  /** Takes the 200 answer to the report that was sent at a time. */
+  public void answered(Map<String, Object> answer, long sentMicros, long sentTenure) {
+    long fence = Json.num(answer, "fence", -1);
+    if (fence < token || sentTenure != tenure) {
+      return;
+    }
+    token = fence;
+    renewedMicros = sentMicros;
+    Json.objects(answer, "orders").forEach(this::execute);
+  }
+
+  public long tenure() {
+    return tenure;
+  }
+
+  /** Takes commands that come directly. */
+  public StateStandIn.Answer orders(Map<String, Object> body) {
+    long fence = Json.num(body, "fence", -1);
+    if (fence < token || Json.num(body, "tenure", -1) != tenure) {
+      return new StateStandIn.Answer(409, report());
+    }
+    token = fence;
+    Json.objects(body, "orders").forEach(this::execute);
+    return new StateStandIn.Answer(200, report());
+  }
+
+  private void execute(Map<String, Object> order) {
+    String name = Json.text(order, "strand");
+    long number = Json.num(order, "try", 0);
+    Task t = tasks.get(name);
+    switch (Json.text(order, "verb")) {
+      case "run" -> {
+        if (t == null) {
+          Task started = new Task(name, number);
+          started.endsMicros = nowMicros + runMicros.applyAsLong(name);
+          tasks.put(name, started);
+          starts.add(name + " " + number);
+        }
+      }
+      case "kill" -> {
+        if (t != null && t.number == number && !t.phase.equals("ended")) {
+          t.phase = "ended";
+          t.cause = "halted";
+        }
+      }
+      default -> {
+        if (t != null && t.number == number && t.phase.equals("ended")) {
+          tasks.remove(name);
+        }
+      }
+    }
+  }
+}
