--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -164,11 +164,15 @@
             return;
           }
           nextTypesMicros = nowMicros + TYPES_MICROS;
+          boolean first = types.isEmpty();
           types.clear();
           for (Map<String, Object> m : Json.objects(reply.object(), "hosttypes")) {
             MachineType type = MachineType.read(m);
             types.put(type.name(), type);
           }
+          if (first) {
+            LOG.info("machine types: {}", types.values());
+          }
           scheduler.touch();
         });
   }
--- a/src/main/java/gladeknot/jobs/JobsDesk.java
+++ b/src/main/java/gladeknot/jobs/JobsDesk.java
@@ -256,7 +256,11 @@
     switch (outcome.result()) {
       case DONE -> {
         for (Pending p : batch) {
-          LOG.info("job {} {}", p.id(), p.abort() ? "withdrawn" : "accepted");
+          if (p.abort()) {
+            LOG.info("job {} withdrawn", p.id());
+          } else {
+            LOG.info("job {} accepted: {}", p.id(), p.spec());
+          }
           int status = p.abort() ? 200 : 201;
           String phase = p.abort() ? "withdrawn" : "queued";
           outbox.answer(p.request(), status, Json.of("id", p.id(), "phase", phase));
