--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -13,8 +13,11 @@
 import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,6 +31,11 @@
 
   private static final long CLAIM_AFTER_MICROS = 400_000;
 
+  /** Others get this long to claim a task before something is stopped for it. */
+  private static final long PREEMPT_AFTER_MICROS = 900_000;
+
+  private static final long FOREIGN_STEP_MICROS = 1_500_000;
+
   /** Room kept in a record for what else it holds. */
   private static final int RECORD_OVERHEAD = 400;
 
@@ -41,7 +49,7 @@
   /** Tasks of one slice that no machine of ours has room for. */
   public record Need(Job job, int shard, int count) {}
 
-  private record Waiting(Slice slice, Job job) {}
+  private record Waiting(Slice slice, Job job, boolean foreign) {}
 
   private final Settings settings;
   private final Membership membership;
@@ -52,6 +60,7 @@
   private final Budgets budgets;
   private final Scheduler scheduler;
   private final Types types;
+  private final Preemption preemption;
   private final Map<Integer, List<Need>> needs = new HashMap<>();
   private final Map<String, Budgets.Amount> left = new HashMap<>();
   private long nextMicros;
@@ -77,6 +86,7 @@
     this.budgets = budgets;
     this.scheduler = scheduler;
     this.types = types;
+    this.preemption = new Preemption(settings, jobs, slices);
   }
 
   /** What found no room in the last pass. */
@@ -115,28 +125,35 @@
 
   private void pass(int shard) {
     left.clear();
+    preemption.refresh(membership.shards());
     List<Room> rooms = new ArrayList<>();
     for (Worker w : workers.of(shard)) {
       if (usable(w)) {
         rooms.add(Room.of(w, types.get(w.type())));
       }
     }
+    List<Waiting> all = new ArrayList<>();
+    for (int from = 0; from < membership.shards(); from++) {
+      waiting(from, shard, all);
+    }
+    all.sort(ORDER);
     List<Need> unplaced = new ArrayList<>();
-    for (Waiting w : waiting(shard)) {
-      int rest = place(w, rooms, shard);
+    for (Waiting w : all) {
+      int rest = w.foreign() ? claim(w, shard, rooms) : place(w, rooms, shard);
       if (rest > 0) {
+        rest = await(w, rest, rooms, shard);
+      }
+      if (rest > 0 && !w.foreign()) {
         unplaced.add(new Need(w.job(), shard, rest));
       }
     }
-    if (unplaced.stream().noneMatch(n -> n.job().spec().shape() == JobSpec.Shape.GANG)) {
-      claim(shard, rooms);
-    }
     needs.put(shard, unplaced);
   }
 
-  /** Priority first, then what is due first, then what came first. */
+  /** Priority first, then the own shard's, then what is due first, then what came first. */
   private static final Comparator<Waiting> ORDER =
       Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
+          .thenComparing(Waiting::foreign)
           .thenComparingLong(w -> dueMicros(w.job()))
           .thenComparingLong(w -> w.job().submittedMicros())
           .thenComparing(w -> w.job().id());
@@ -146,9 +163,16 @@
     return due == 0 ? Long.MAX_VALUE : job.submittedMicros() + due;
   }
 
-  private List<Waiting> waiting(int shard) {
-    List<Waiting> found = new ArrayList<>();
-    for (Slice s : slices.of(shard)) {
+  /** The slices of one shard that wait; those of others only once they have waited a while. */
+  private void waiting(int from, int shard, List<Waiting> into) {
+    boolean foreign = from != shard;
+    if (foreign && membership.commitsFor(from) && from < shard) {
+      // Both are ours: claims go one way, to the higher number, so that none go in circles.
+      foreign = true;
+    } else if (foreign && membership.commitsFor(from)) {
+      return;
+    }
+    for (Slice s : slices.of(from)) {
       Job job = jobs.active(s.job());
       if (job == null || s.todoCount() == 0) {
         s.waitingSinceMicros = 0;
@@ -157,10 +181,10 @@
       if (s.waitingSinceMicros == 0) {
         s.waitingSinceMicros = nowMicros;
       }
-      found.add(new Waiting(s, job));
+      if (!foreign || nowMicros - s.waitingSinceMicros >= CLAIM_AFTER_MICROS) {
+        into.add(new Waiting(s, job, foreign));
+      }
     }
-    found.sort(ORDER);
-    return found;
   }
 
   private Budgets.Amount left(String team, int shard) {
@@ -198,7 +222,7 @@
     Slice s = w.slice();
     JobSpec spec = w.job().spec();
     int todo = s.todoCount();
-    if (nowMicros < s.restUntilMicros || recorder.busy(s) && !s.claims.isEmpty()) {
+    if (nowMicros < s.restUntilMicros || (recorder.busy(s) && !s.claims.isEmpty())) {
       return 0;
     }
     int allowed = allowedByBudget(spec, shard);
@@ -233,13 +257,13 @@
     }
     for (String zone : zones) {
       List<Room> chosen = new ArrayList<>();
-      Map<String, Integer> perZone = zoneCounts(s);
+      Map<String, Integer> perZone = slices.zoneCounts(s.job());
       while (chosen.size() < todo) {
         Room room = best(s, spec, rooms, zone, perZone);
         if (room == null) {
           break;
         }
-        room.take(spec.cpus(), spec.gpus(), spec.memory());
+        room.take(spec);
         perZone.merge(room.worker.zone(), 1, Integer::sum);
         chosen.add(room);
       }
@@ -258,23 +282,8 @@
     return false;
   }
 
-  private static Map<String, Integer> zoneCounts(Slice s, WorkerBook workers) {
-    Map<String, Integer> counts = new HashMap<>();
-    for (Attempt a : s.out.values()) {
-      Worker w = workers.get(a.host());
-      if (!a.closed && w != null) {
-        counts.merge(w.zone(), 1, Integer::sum);
-      }
-    }
-    return counts;
-  }
-
-  private Map<String, Integer> zoneCounts(Slice s) {
-    return zoneCounts(s, workers);
-  }
-
   private Room best(Slice s, JobSpec spec, List<Room> rooms, String zone) {
-    return best(s, spec, rooms, zone, zoneCounts(s));
+    return best(s, spec, rooms, zone, slices.zoneCounts(s.job()));
   }
 
   /** The room that suits a task best; null if none does. */
@@ -283,20 +292,10 @@
     Room best = null;
     double bestScore = 0;
     for (Room room : rooms) {
-      String in = room.worker.zone();
-      if (room.fits(spec) == 0
-          || !room.allows(spec)
-          || (zone != null && !zone.equals(in))
-          || (spec.scatter() && perZone.getOrDefault(in, 0) >= spec.perZone())) {
-        continue;
-      }
-      if (spec.together() && zone == null && !perZone.isEmpty() && !perZone.containsKey(in)) {
+      if (room.fits(spec) == 0 || !suits(spec, room, zone, perZone)) {
         continue;
       }
-      if (spec.gpus() == 0 && room.type.gpus() > 0 && spec.shape() == JobSpec.Shape.SERVICE) {
-        continue;
-      }
-      double score = score(spec, room, perZone.getOrDefault(in, 0));
+      double score = score(spec, room, perZone.getOrDefault(room.worker.zone(), 0));
       if (best == null || score < bestScore) {
         best = room;
         bestScore = score;
@@ -305,6 +304,16 @@
     return best;
   }
 
+  /** Whether a job's next task may go to a machine, whatever is free there. */
+  private static boolean suits(JobSpec spec, Room room, String zone, Map<String, Integer> perZone) {
+    String in = room.worker.zone();
+    return room.allows(spec)
+        && (zone == null || zone.equals(in))
+        && (!spec.scatter() || perZone.getOrDefault(in, 0) < spec.perZone())
+        && (!spec.together() || zone != null || perZone.isEmpty() || perZone.containsKey(in))
+        && (spec.gpus() > 0 || room.type.gpus() == 0 || spec.shape() != JobSpec.Shape.SERVICE);
+  }
+
   /** Lower is better: what the fetch costs, then rare GPUs, then the fullest machine. */
   private static double score(JobSpec spec, Room room, int inZone) {
     double fetch =
@@ -318,67 +327,38 @@
 
   private void start(Slice s, int task, long number, Room room) {
     room.take(s.cpus(), s.gpus(), s.memory());
+    preemption.started(jobs.active(s.job()).spec());
     slices.put(new Attempt(s, task, number, room.worker.host(), nowMicros));
     recorder.changed(s);
   }
 
-  /** Takes other shards' tasks that wait, where own room is left, in batches. */
-  private void claim(int shard, List<Room> rooms) {
-    boolean any = rooms.stream().anyMatch(r -> r.cpus > 0);
-    if (!any) {
-      return;
-    }
-    List<Waiting> others = new ArrayList<>();
-    for (int other = 0; other < membership.shards(); other++) {
-      if (other != shard) {
-        for (Slice s : slices.of(other)) {
-          Job job = jobs.active(s.job());
-          if (job == null || s.todoCount() == 0) {
-            s.waitingSinceMicros = 0;
-            continue;
-          }
-          if (s.waitingSinceMicros == 0) {
-            s.waitingSinceMicros = nowMicros;
-          } else if (nowMicros - s.waitingSinceMicros < CLAIM_AFTER_MICROS) {
-            continue;
-          } else if (!recorder.busy(s) && !membership.owned().contains(other)) {
-            others.add(new Waiting(s, job));
-          }
-        }
-      }
-    }
-    others.sort(ORDER);
-    for (Waiting w : others) {
-      claim(w, shard, rooms);
-    }
-  }
-
-  private void claim(Waiting w, int shard, List<Room> rooms) {
+  /**
+   * Takes other shards' tasks that wait into a slice of ours, as far as they start at once. Returns
+   * how many it had no room for.
+   */
+  private int claim(Waiting w, int shard, List<Room> rooms) {
     Slice from = w.slice();
     JobSpec spec = w.job().spec();
-    if (spec.whole() && !from.out.isEmpty()) {
-      return;
+    boolean gang = spec.shape() == JobSpec.Shape.GANG;
+    if (recorder.busy(from) || (gang && !from.out.isEmpty())) {
+      return 0;
     }
     int todo = from.todoCount();
-    int allowed = allowedByBudget(spec, shard);
     Slice own = slices.get(shard, spec.id());
     if (own == null) {
       own = slices.create(shard, w.job());
     }
-    if (recorder.busy(own) || !own.claims.isEmpty() || nowMicros < own.restUntilMicros) {
-      return;
-    }
+    int allowed = allowedByBudget(spec, shard);
     int count = Math.min(todo, Math.min(allowed, recordRoom(own)));
-    int fit = 0;
-    for (Room room : rooms) {
-      if (room.allows(spec)) {
-        fit += room.fits(spec);
-      }
-    }
-    count = spec.whole() ? (fit > 0 && allowed >= todo ? todo : 0) : Math.min(count, fit);
-    if (count <= 0) {
+    if (recorder.busy(own)
+        || !own.claims.isEmpty()
+        || own.todoCount() > 0
+        || nowMicros < own.restUntilMicros
+        || nowMicros < from.restUntilMicros
+        || count <= 0
+        || (gang && count < todo)) {
       slices.discardIfEmpty(own);
-      return;
+      return 0;
     }
     BitSet tasks = new BitSet();
     int task = from.nextTodo(0);
@@ -387,26 +367,94 @@
       task = from.nextTodo(task + 1);
     }
     own.assigned.or(tasks);
-    int rest = place(new Waiting(own, w.job()), rooms, shard);
-    if (own.live() == 0 || (spec.shape() == JobSpec.Shape.GANG && rest > 0)) {
-      own.assigned.andNot(tasks);
+    place(new Waiting(own, w.job(), false), rooms, shard);
+    for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
+      if (!own.out.containsKey(t)) {
+        tasks.clear(t);
+        own.assigned.clear(t);
+      }
+    }
+    if (tasks.isEmpty()) {
       slices.discardIfEmpty(own);
-      return;
+      return todo;
     }
-    if (!spec.whole()) {
-      // Only what starts at once is taken.
-      for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
-        if (!own.out.containsKey(t)) {
-          tasks.clear(t);
-          own.assigned.clear(t);
+    own.claims.put(from, tasks);
+    recorder.changed(own);
+    LOG.info("claim {} tasks {} from shard {} for shard {}", spec.id(), tasks, from.shard(), shard);
+    return todo - tasks.cardinality();
+  }
+
+  /**
+   * For tasks that found no room: holds room that is being freed, and stops others for them where
+   * that is allowed. Returns how many tasks remain without any.
+   */
+  private int await(Waiting w, int count, List<Room> rooms, int shard) {
+    JobSpec spec = w.job().spec();
+    long waited = nowMicros - w.slice().waitingSinceMicros;
+    boolean gang = spec.shape() == JobSpec.Shape.GANG;
+    // Others with free room come first; those who would have to stop something for a task that
+    // is not theirs wait for its own shard, and for those before them.
+    int place = Math.floorMod(shard - w.slice().shard(), membership.shards());
+    boolean mayStop = waited >= PREEMPT_AFTER_MICROS + place * FOREIGN_STEP_MICROS;
+    int rest = count;
+    Map<String, Integer> perZone = slices.zoneCounts(w.slice().job());
+    Map<Room, Integer> held = new LinkedHashMap<>();
+    Set<Attempt> victims = new LinkedHashSet<>();
+    while (rest > 0) {
+      Room best = null;
+      Preemption.Plan plan = null;
+      double bestCost = 0;
+      for (Room room : rooms) {
+        if (!suits(spec, room, null, perZone)) {
+          continue;
+        }
+        Preemption.Plan p = Preemption.NOTHING;
+        if (!room.fitsSoon(spec)) {
+          p = mayStop ? preemption.plan(room, spec, victims, nowMicros) : null;
+        }
+        if (p == null) {
+          continue;
+        }
+        double cost = p.lossS() + score(spec, room, perZone.getOrDefault(room.worker.zone(), 0));
+        if (best == null || cost < bestCost) {
+          best = room;
+          plan = p;
+          bestCost = cost;
         }
       }
-      if (tasks.isEmpty()) {
-        return;
+      if (best == null) {
+        break;
+      }
+      for (Attempt a : plan.victims()) {
+        victims.add(a);
+        best.stopping(a.slice());
       }
+      best.take(spec);
+      held.merge(best, 1, Integer::sum);
+      perZone.merge(best.worker.zone(), 1, Integer::sum);
+      rest--;
     }
-    own.claims.put(from, tasks);
-    recorder.changed(own);
-    LOG.info("claim {} tasks {} from shard {} for shard {}", spec.id(), tasks, from.shard(), shard);
+    if (!gang || rest == 0) {
+      for (Attempt a : victims) {
+        LOG.info("stop {} for {}", a, spec.id());
+        preemption.stopped(a);
+        scheduler.kill(a, preemption.graceS(a));
+      }
+      for (int i = rest; i < count; i++) {
+        preemption.started(spec);
+      }
+    }
+    if (gang && rest > 0) {
+      // A gang that nothing may be stopped for gets what falls free, on the machines that it
+      // could use: the room that it lacks is taken in thought, so that nobody else gets it.
+      for (Room room : rooms) {
+        if (rest > 0 && suits(spec, room, null, perZone) && room.type.fits(spec) > 0) {
+          room.take(spec);
+          rest--;
+        }
+      }
+      return w.foreign() ? 0 : count;
+    }
+    return rest;
   }
 }
--- /dev/null
+++ b/src/main/java/gladeknot/placement/Preemption.java
@@ -0,0 +1,156 @@
+package gladeknot.placement;
+
+import gladeknot.jobs.Job;
+import gladeknot.jobs.JobBook;
+import gladeknot.jobs.JobSpec;
+import gladeknot.settings.Settings;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which tasks may be stopped for another: those of lower priority, and what another team runs
+ * beyond its own guarantee where that brings a team its guarantee.
+ */
+final class Preemption {
+  /** Grace beyond {@code flushS}, for the way there and the worker's clock. */
+  private static final double GRACE_MARGIN_S = 0.5;
+
+  private static final double MICROS = 1e6;
+
+  private final Settings settings;
+  private final JobBook jobs;
+  private final SliceBook slices;
+
+  /** CPUs and GPUs by team over all shards, worked out anew for each pass. */
+  private final Map<String, long[]> used = new HashMap<>();
+
+  Preemption(Settings settings, JobBook jobs, SliceBook slices) {
+    this.settings = settings;
+    this.jobs = jobs;
+    this.slices = slices;
+  }
+
+  /** Victims on one machine and what stopping them loses, in seconds of work. */
+  record Plan(List<Attempt> victims, double lossS) {}
+
+  static final Plan NOTHING = new Plan(List.of(), 0);
+
+  /** Counts anew what each team uses. */
+  void refresh(int shards) {
+    used.clear();
+    for (int shard = 0; shard < shards; shard++) {
+      for (Slice s : slices.of(shard)) {
+        int live = s.live();
+        if (live > 0) {
+          long[] sum = used.computeIfAbsent(s.team(), t -> new long[2]);
+          sum[0] += s.cpus() * live;
+          sum[1] += s.gpus() * live;
+        }
+      }
+    }
+  }
+
+  private long[] used(String team) {
+    return used.computeIfAbsent(team, t -> new long[2]);
+  }
+
+  /** Whether a task would stay within its team's guarantee. */
+  private boolean withinGuarantee(JobSpec spec) {
+    Settings.Team team = settings.teams().get(spec.team());
+    long[] u = used(spec.team());
+    return team != null
+        && u[0] + spec.cpus() <= team.cpus()
+        && (spec.gpus() == 0 || u[1] + spec.gpus() <= team.gpus());
+  }
+
+  private boolean beyondGuarantee(Slice s) {
+    Settings.Team team = settings.teams().get(s.team());
+    long[] u = used(s.team());
+    return team != null && (u[0] > team.cpus() || (s.gpus() > 0 && u[1] > team.gpus()));
+  }
+
+  private boolean mayStop(JobSpec spec, Attempt a) {
+    Job job = jobs.active(a.slice().job());
+    if (job == null || a.closed || a.killed() || !a.committed) {
+      return false;
+    }
+    if (job.spec().rank().ordinal() > spec.rank().ordinal()) {
+      return true;
+    }
+    return !job.spec().team().equals(spec.team())
+        && job.spec().rank().ordinal() >= spec.rank().ordinal()
+        && withinGuarantee(spec)
+        && beyondGuarantee(a.slice());
+  }
+
+  /** What stopping a task loses, in seconds of its machine's work. */
+  private double lossS(Attempt a, long nowMicros) {
+    if (a.runningSinceMicros == 0) {
+      return 0.5;
+    }
+    JobSpec spec = jobs.active(a.slice().job()).spec();
+    double ran = (nowMicros - a.runningSinceMicros) / MICROS;
+    double lost = spec.snapshotMicros() > 0 ? Math.min(ran, 2 + spec.flushMicros() / MICROS) : ran;
+    // What takes more of the machine loses more with it.
+    return (lost + 1) * (1 + a.slice().gpus() / 1000.0);
+  }
+
+  /** The cheapest victims that make room for a task on a machine; null if that can't be. */
+  Plan plan(Room room, JobSpec spec, Set<Attempt> taken, long nowMicros) {
+    List<Attempt> able = new ArrayList<>();
+    for (Attempt a : room.worker.attempts().values()) {
+      if (!taken.contains(a) && mayStop(spec, a)) {
+        able.add(a);
+      }
+    }
+    able.sort(Comparator.comparingDouble(a -> lossS(a, nowMicros)));
+    long c = room.cpus + room.stoppingCpus - spec.cpus();
+    long g = room.gpus + room.stoppingGpus - spec.gpus();
+    long m = room.memory + room.stoppingMemory - spec.memory();
+    List<Attempt> victims = new ArrayList<>();
+    double loss = 0;
+    for (Attempt a : able) {
+      if (c >= 0 && g >= 0 && m >= 0) {
+        break;
+      }
+      Slice s = a.slice();
+      boolean helps =
+          (c < 0 && s.cpus() > 0) || (g < 0 && s.gpus() > 0) || (m < 0 && s.memory() > 0);
+      if (helps) {
+        victims.add(a);
+        loss += lossS(a, nowMicros);
+        c += s.cpus();
+        g += s.gpus();
+        m += s.memory();
+      }
+    }
+    return c >= 0 && g >= 0 && m >= 0 ? new Plan(victims, loss) : null;
+  }
+
+  /** The grace with which a task is stopped: enough to save if it can, else none. */
+  double graceS(Attempt a) {
+    Job job = jobs.active(a.slice().job());
+    if (job == null || job.spec().snapshotMicros() == 0) {
+      return 0;
+    }
+    return job.spec().flushMicros() / MICROS + GRACE_MARGIN_S;
+  }
+
+  /** Notes that a task is to be stopped. */
+  void stopped(Attempt a) {
+    long[] u = used(a.slice().team());
+    u[0] -= a.slice().cpus();
+    u[1] -= a.slice().gpus();
+  }
+
+  /** Notes that a task is to be started. */
+  void started(JobSpec spec) {
+    long[] u = used(spec.team());
+    u[0] += spec.cpus();
+    u[1] += spec.gpus();
+  }
+}
--- a/src/main/java/gladeknot/placement/Recorder.java
+++ b/src/main/java/gladeknot/placement/Recorder.java
@@ -131,8 +131,8 @@
       if (job == null) {
         dropStarts(s);
       }
-      if (!claimsStand(s)) {
-        // The tasks' own shard has started some since: what was decided is dropped.
+      if (!claimsStand(s) || (job != null && s.starts() && !slices.zonesStand(job.spec()))) {
+        // Other shards have started some of the job's tasks since: what was decided is dropped.
         reload(s);
         continue;
       }
@@ -194,10 +194,8 @@
   private int gather(Slice s, Job job, Batch batch) {
     List<Attempt> live = new ArrayList<>();
     List<Attempt> closed = new ArrayList<>();
-    boolean starts = false;
     for (Attempt a : s.out.values()) {
       (a.closed ? closed : live).add(a);
-      starts |= !a.closed && !a.committed;
     }
     if (job == null && live.isEmpty()) {
       // Nothing of a job that is over is on a machine any more: its record goes.
@@ -207,9 +205,18 @@
     }
     batch.conditions().put(s.key(), s.stamp);
     shardCondition(s.shard(), batch);
-    if (job != null && (starts || !s.claims.isEmpty())) {
+    if (job != null && s.starts()) {
       // A cancellation that is committed before this start makes the start fail.
       batch.conditions().put(Job.key(s.job()), job.stamp());
+      if (job.spec().scatter() || job.spec().together()) {
+        // Where a job's tasks may go depends on where its others are, in whichever slice.
+        for (int shard = 0; shard < membership.shards(); shard++) {
+          Slice other = slices.get(shard, s.job());
+          if (shard != s.shard()) {
+            batch.conditions().put(Slice.key(shard, s.job()), other == null ? 0L : other.stamp);
+          }
+        }
+      }
     }
     for (Map.Entry<Slice, BitSet> claim : s.claims.entrySet()) {
       Slice from = claim.getKey();
--- a/src/main/java/gladeknot/placement/Room.java
+++ b/src/main/java/gladeknot/placement/Room.java
@@ -9,10 +9,19 @@
 final class Room {
   final Worker worker;
   final MachineType type;
+
+  /** Free now. */
   long cpus;
+
   long gpus;
   long memory;
 
+  /** Held by tasks that have been told to stop. */
+  long stoppingCpus;
+
+  long stoppingGpus;
+  long stoppingMemory;
+
   private Room(Worker worker, MachineType type) {
     this.worker = worker;
     this.type = type;
@@ -27,6 +36,9 @@
     for (Attempt a : worker.attempts().values()) {
       if (!a.closed) {
         room.take(a.slice().cpus(), a.slice().gpus(), a.slice().memory());
+        if (a.killed()) {
+          room.stopping(a.slice());
+        }
       }
     }
     if (worker.report() != null) {
@@ -41,12 +53,22 @@
     return room;
   }
 
+  void stopping(Slice s) {
+    stoppingCpus += s.cpus();
+    stoppingGpus += s.gpus();
+    stoppingMemory += s.memory();
+  }
+
   void take(long c, long g, long m) {
     cpus -= c;
     gpus -= g;
     memory -= m;
   }
 
+  void take(JobSpec spec) {
+    take(spec.cpus(), spec.gpus(), spec.memory());
+  }
+
   int fits(JobSpec spec) {
     if (cpus < spec.cpus() || gpus < spec.gpus() || memory < spec.memory()) {
       return 0;
@@ -58,6 +80,13 @@
     return (int) n;
   }
 
+  /** Whether a task fits once those that are stopping have gone. */
+  boolean fitsSoon(JobSpec spec) {
+    return cpus + stoppingCpus >= spec.cpus()
+        && gpus + stoppingGpus >= spec.gpus()
+        && memory + stoppingMemory >= spec.memory();
+  }
+
   boolean allows(JobSpec spec) {
     return spec.allows(worker.type(), worker.zone(), worker.spot());
   }
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -221,6 +221,11 @@
     return assigned.cardinality() - done.cardinality() - open;
   }
 
+  /** Whether starts have been decided that are not committed yet. */
+  boolean starts() {
+    return out.values().stream().anyMatch(a -> !a.closed && !a.committed);
+  }
+
   /** Tasks that may be on a machine. */
   public int live() {
     int count = 0;
--- a/src/main/java/gladeknot/placement/SliceBook.java
+++ b/src/main/java/gladeknot/placement/SliceBook.java
@@ -1,7 +1,9 @@
 package gladeknot.placement;
 
 import gladeknot.jobs.Job;
+import gladeknot.jobs.JobSpec;
 import gladeknot.ledger.Ledger;
+import gladeknot.workers.Worker;
 import gladeknot.workers.WorkerBook;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -53,6 +55,30 @@
     return found;
   }
 
+  /** How many of a job's tasks may be on machines of each zone, in whichever slice. */
+  Map<String, Integer> zoneCounts(String job) {
+    Map<String, Integer> counts = new HashMap<>();
+    for (Slice s : of(job)) {
+      for (Attempt a : s.out.values()) {
+        Worker w = workers.get(a.host());
+        if (!a.closed && w != null) {
+          counts.merge(w.zone(), 1, Integer::sum);
+        }
+      }
+    }
+    return counts;
+  }
+
+  /** Whether the tasks that are out, and those decided on, are where their job allows them. */
+  boolean zonesStand(JobSpec spec) {
+    if (!spec.scatter() && !spec.together()) {
+      return true;
+    }
+    Map<String, Integer> counts = zoneCounts(spec.id());
+    return (!spec.together() || counts.size() <= 1)
+        && (!spec.scatter() || counts.values().stream().allMatch(n -> n <= spec.perZone()));
+  }
+
   /** The stamp that the followed copy has for a record. */
   long recordStamp(String key) {
     return ledger.stamp(key);
