--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -10,6 +10,7 @@
 import gladeknot.jobs.JobsDesk;
 import gladeknot.ledger.Ledger;
 import gladeknot.membership.Membership;
+import gladeknot.peer.Hint;
 import gladeknot.placement.Placer;
 import gladeknot.placement.Recorder;
 import gladeknot.placement.Scheduler;
@@ -66,7 +67,7 @@
     recorder = new Recorder(settings, ledger, membership, jobs, slices);
     scheduler =
         new Scheduler(settings, membership, jobs, slices, workers, recorder, outbox, this::cacheGb);
-    budgets = new Budgets(settings, ledger, membership, jobs, slices, recorder);
+    budgets = new Budgets(settings, ledger, membership, slices, recorder, outbox);
     fleet = new Fleet(settings, ledger, membership, workers, recorder, scheduler, outbox);
     placer =
         new Placer(
@@ -116,6 +117,11 @@
     recorder.tick(nowMicros);
   }
 
+  /** Takes in what another controller tells. */
+  public void hint(Hint hint) {
+    budgets.hint(hint);
+  }
+
   /** Takes a request; its answer comes out of the outbox under the same number. */
   public void request(long id, String method, String uri, byte[] body) {
     int query = uri.indexOf('?');
--- a/src/main/java/gladeknot/app/Service.java
+++ b/src/main/java/gladeknot/app/Service.java
@@ -3,6 +3,7 @@
 import gladeknot.http.HttpCaller;
 import gladeknot.http.HttpServer;
 import gladeknot.http.Outbox;
+import gladeknot.peer.PeerLinks;
 import gladeknot.settings.Settings;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -25,6 +26,7 @@
   private final EventLoopGroup group;
   private final HttpServer server;
   private final HttpCaller caller;
+  private final PeerLinks peers;
   private boolean draining;
 
   public Service(Settings settings) {
@@ -35,6 +37,7 @@
     int most = Math.max(50, settings.maxConnections() - OWN_SOCKETS);
     this.server = new HttpServer(this::request, most);
     this.caller = new HttpCaller(group, this::reply);
+    this.peers = new PeerLinks(settings, group, core::hint);
   }
 
   /** Starts; the event loop's thread keeps the process running. */
@@ -42,6 +45,7 @@
     String listen = settings.clientListen();
     int colon = listen.lastIndexOf(':');
     server.listen(group, listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1)));
+    peers.listen();
     LOG.info("{} listens on {}", settings.node(), listen);
     group.next().execute(this::tick);
   }
@@ -93,6 +97,7 @@
         var calls = core.outbox().takeCalls();
         answers.forEach(server::answer);
         calls.forEach(caller::call);
+        core.outbox().takeHints().forEach(peers::send);
         more = !answers.isEmpty() || !calls.isEmpty();
       }
     } finally {
--- a/src/main/java/gladeknot/http/Outbox.java
+++ b/src/main/java/gladeknot/http/Outbox.java
@@ -1,5 +1,6 @@
 package gladeknot.http;
 
+import gladeknot.peer.Hint;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -35,6 +36,7 @@
 
   private final List<Call> calls = new ArrayList<>();
   private final List<Answer> answers = new ArrayList<>();
+  private final List<Hint> hints = new ArrayList<>();
   private final Map<Long, ReplyHandler> waiting = new HashMap<>();
   private long nextId = 1;
 
@@ -68,6 +70,17 @@
     return taken;
   }
 
+  /** Tells the other controllers something; it may get lost. */
+  public void hint(Hint hint) {
+    hints.add(hint);
+  }
+
+  public List<Hint> takeHints() {
+    List<Hint> taken = List.copyOf(hints);
+    hints.clear();
+    return taken;
+  }
+
   public List<Answer> takeAnswers() {
     List<Answer> taken = List.copyOf(answers);
     answers.clear();
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -125,6 +125,7 @@
 
   private void pass(int shard) {
     left.clear();
+    budgets.clear(shard);
     preemption.refresh(membership.shards());
     List<Room> rooms = new ArrayList<>();
     for (Worker w : workers.of(shard)) {
@@ -227,11 +228,18 @@
     }
     int allowed = allowedByBudget(spec, shard);
     if (spec.shape() == JobSpec.Shape.GANG) {
-      if (!s.out.isEmpty() || allowed < todo) {
+      if (!s.out.isEmpty()) {
+        return 0;
+      }
+      if (allowed < todo) {
+        lacks(spec, todo, allowed, rooms, shard);
         return 0;
       }
       return placeGang(s, spec, rooms, todo, shard) ? 0 : todo;
     }
+    if (allowed < todo) {
+      lacks(spec, todo, allowed, rooms, shard);
+    }
     int count = Math.min(todo, Math.min(allowed, recordRoom(s)));
     int placed = 0;
     int next = s.nextTodo(0);
@@ -248,6 +256,25 @@
     return count - placed;
   }
 
+  /** Asks for budget as far as there is, or may be made, room for the tasks that lack it. */
+  private void lacks(JobSpec spec, int todo, int allowed, List<Room> rooms, int shard) {
+    long able = 0;
+    for (Room room : rooms) {
+      if (room.allows(spec)) {
+        able += Math.max(room.fits(spec), spec.rank() == JobSpec.Rank.NORMAL ? 0 : 1);
+      }
+    }
+    long n = spec.shape() == JobSpec.Shape.GANG ? todo : Math.min(able, todo);
+    if (able > 0 && n > allowed) {
+      Budgets.Amount a = left(spec.team(), shard);
+      budgets.lacks(
+          spec.team(),
+          shard,
+          new Budgets.Amount(
+              Math.max(0, spec.cpus() * n - a.cpus()), Math.max(0, spec.gpus() * n - a.gpus())));
+    }
+  }
+
   private boolean placeGang(Slice s, JobSpec spec, List<Room> rooms, int todo, int shard) {
     List<String> zones = new ArrayList<>();
     if (spec.together()) {
@@ -350,6 +377,9 @@
     }
     int allowed = allowedByBudget(spec, shard);
     int count = Math.min(todo, Math.min(allowed, recordRoom(own)));
+    if (allowed < todo) {
+      lacks(spec, todo, allowed, rooms, shard);
+    }
     if (recorder.busy(own)
         || !own.claims.isEmpty()
         || own.todoCount() > 0
@@ -442,6 +472,7 @@
       }
       for (int i = rest; i < count; i++) {
         preemption.started(spec);
+        budgets.reserve(spec.team(), shard, new Budgets.Amount(spec.cpus(), spec.gpus()));
       }
     }
     if (gang && rest > 0) {
--- a/src/main/java/gladeknot/teams/Budgets.java
+++ b/src/main/java/gladeknot/teams/Budgets.java
@@ -1,11 +1,11 @@
 package gladeknot.teams;
 
 import gladeknot.http.Json;
-import gladeknot.jobs.Job;
-import gladeknot.jobs.JobBook;
+import gladeknot.http.Outbox;
 import gladeknot.ledger.Ledger;
 import gladeknot.ledger.Ledger.Write;
 import gladeknot.membership.Membership;
+import gladeknot.peer.Hint;
 import gladeknot.placement.Recorder;
 import gladeknot.placement.Slice;
 import gladeknot.placement.SliceBook;
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,7 +28,9 @@
 public final class Budgets {
   private static final Logger LOG = LoggerFactory.getLogger(Budgets.class);
   private static final String KEYS = Ledger.ROOT + "team/";
-  private static final long STEP_MICROS = 300_000;
+  private static final long STEP_MICROS = 150_000;
+  private static final long TELL_MICROS = 1_000_000;
+  private static final long HINT_MICROS = 3_000_000;
 
   /** An amount of CPUs and GPUs, in thousandths. */
   public record Amount(long cpus, long gpus) {
@@ -39,10 +42,6 @@
       return new Amount(cpus + o.cpus, gpus + o.gpus);
     }
 
-    boolean covers(Amount o) {
-      return cpus >= o.cpus && gpus >= o.gpus;
-    }
-
     boolean positive() {
       return cpus > 0 || gpus > 0;
     }
@@ -61,26 +60,32 @@
   private final Settings settings;
   private final Ledger ledger;
   private final Membership membership;
-  private final JobBook jobs;
   private final SliceBook slices;
   private final Recorder recorder;
+  private final Outbox outbox;
   private final Set<String> changing = new HashSet<>();
   private final Map<String, Amount> giving = new HashMap<>();
+  private final Map<Integer, Map<String, Amount>> lacking = new HashMap<>();
+  private final Map<Integer, Map<String, Amount>> told = new HashMap<>();
+  private final Map<String, Amount> reserved = new HashMap<>();
+  private final Map<Integer, Long> hintedMicros = new HashMap<>();
+  private long tellAgainMicros;
   private long nextMicros;
+  private long nowMicros;
 
   public Budgets(
       Settings settings,
       Ledger ledger,
       Membership membership,
-      JobBook jobs,
       SliceBook slices,
-      Recorder recorder) {
+      Recorder recorder,
+      Outbox outbox) {
     this.settings = settings;
     this.ledger = ledger;
     this.membership = membership;
-    this.jobs = jobs;
     this.slices = slices;
     this.recorder = recorder;
+    this.outbox = outbox;
   }
 
   private Amount budget(String team, int shard) {
@@ -121,10 +126,14 @@
   }
 
   public void tick(long now) {
+    nowMicros = now;
     if (now < nextMicros || !ledger.loaded()) {
       return;
     }
     nextMicros = now + STEP_MICROS;
+    for (int shard : membership.owned()) {
+      tell(shard);
+    }
     for (Settings.Team team : settings.teams().values()) {
       if (changing.contains(team.name())) {
         continue;
@@ -167,33 +176,46 @@
             }));
   }
 
-  /** What the waiting tasks of a shard would take beyond what it may start. */
-  private Amount wanted(String team, int shard) {
-    Amount sum = NONE;
-    for (Slice s : slices.of(shard)) {
-      if (team.equals(s.team()) && jobs.active(s.job()) != null) {
-        long todo = s.todoCount();
-        sum = sum.plus(new Amount(s.cpus() * todo, s.gpus() * todo));
-      }
+  /** What a pass found that a shard's budget of a team lacks for tasks that it has room for. */
+  public void lacks(String team, int shard, Amount amount) {
+    lacking.computeIfAbsent(shard, k -> new TreeMap<>()).merge(team, amount, Amount::plus);
+  }
+
+  /** What a pass keeps room for: it will be started when others have stopped. */
+  public void reserve(String team, int shard, Amount amount) {
+    reserved.merge(team + "/" + shard, amount, Amount::plus);
+  }
+
+  /** A new pass over a shard begins. */
+  public void clear(int shard) {
+    lacking.remove(shard);
+    reserved.keySet().removeIf(k -> k.endsWith("/" + shard));
+  }
+
+  /** Takes in what another controller lacks. */
+  public void hint(Hint hint) {
+    if (hint.shard() >= membership.shards()
+        || hint.term() != membership.term(hint.shard())
+        || membership.owned().contains(hint.shard())) {
+      return;
     }
-    return sum;
+    Map<String, Amount> map = new TreeMap<>();
+    hint.shorts().forEach(s -> map.put(s.team(), new Amount(s.cpus(), s.gpus())));
+    lacking.put(hint.shard(), map);
+    hintedMicros.put(hint.shard(), nowMicros);
+    nextMicros = 0;
   }
 
-  /** The least that would let some waiting work of a shard start; null if nothing waits. */
-  private Amount unit(String team, int shard) {
-    Amount least = null;
-    for (Slice s : slices.of(shard)) {
-      Job job = jobs.active(s.job());
-      if (job == null || !team.equals(s.team()) || s.todoCount() == 0) {
-        continue;
-      }
-      long n = job.spec().whole() ? s.todoCount() : 1;
-      Amount a = new Amount(s.cpus() * n, s.gpus() * n);
-      if (least == null || a.cpus() < least.cpus()) {
-        least = a;
-      }
+  private void tell(int shard) {
+    Map<String, Amount> map = lacking.getOrDefault(shard, Map.of());
+    if (map.equals(told.get(shard)) && (map.isEmpty() || nowMicros < tellAgainMicros)) {
+      return;
     }
-    return least;
+    tellAgainMicros = nowMicros + TELL_MICROS;
+    told.put(shard, Map.copyOf(map));
+    List<Hint.Short> shorts = new ArrayList<>();
+    map.forEach((team, a) -> shorts.add(new Hint.Short(team, a.cpus(), a.gpus())));
+    outbox.hint(new Hint(settings.node(), shard, membership.term(shard), shorts));
   }
 
   private void give(Settings.Team team, int shard) {
@@ -201,29 +223,21 @@
       return;
     }
     String name = team.name();
-    Amount free = available(name, shard).atLeastZero();
-    if (!free.positive()) {
-      return;
-    }
-    Amount mine = unit(name, shard);
-    Amount spare = free.minus(wanted(name, shard)).atLeastZero();
-    boolean stuck = mine != null && !free.covers(mine);
+    Amount spare =
+        available(name, shard)
+            .minus(reserved.getOrDefault(name + "/" + shard, NONE))
+            .minus(lacking.getOrDefault(shard, Map.of()).getOrDefault(name, NONE));
+    Amount rest = spare.atLeastZero();
     for (int other = 0; other < membership.shards(); other++) {
-      if (other == shard) {
-        continue;
-      }
-      Amount unit = unit(name, other);
-      if (unit == null) {
-        continue;
-      }
-      Amount has = budget(name, other).minus(usage(name, other));
-      Amount lacks = wanted(name, other).minus(has).atLeastZero();
-      if (!lacks.positive()) {
+      boolean ours = membership.owned().contains(other);
+      boolean heard = nowMicros - hintedMicros.getOrDefault(other, 0L) < HINT_MICROS;
+      if (other == shard || (!ours && !heard)) {
         continue;
       }
-      // A rest that is too small for work of one's own goes to lower numbers, never in circles.
-      Amount from = stuck && other < shard ? free : spare;
-      Amount given = from.min(lacks);
+      Amount lacks = lacking.getOrDefault(other, Map.of()).getOrDefault(name, NONE);
+      // A rest too small for any of one's own tasks goes to lower numbers, never in circles.
+      boolean stuck = lacking.getOrDefault(shard, Map.of()).containsKey(name) && other < shard;
+      Amount given = (stuck ? available(name, shard).atLeastZero() : rest).min(lacks);
       if (!given.positive()) {
         continue;
       }
@@ -236,6 +250,7 @@
         cpus.add(b.cpus() + change.cpus());
         gpus.add(b.gpus() + change.gpus());
       }
+      lacking.get(other).remove(name);
       change(name, shard, Json.of("c", cpus, "g", gpus), given);
       return;
     }
