--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -37,7 +37,7 @@
   private final JobBook jobs;
   private final JobsDesk jobsDesk;
   private final WorkerBook workers = new WorkerBook();
-  private final WorkerDesk workerDesk;
+  private WorkerDesk workerDesk;
   private final SliceBook slices;
   private final Recorder recorder;
   private final Scheduler scheduler;
@@ -71,9 +71,22 @@
     fleet = new Fleet(settings, ledger, membership, workers, recorder, scheduler, outbox);
     placer =
         new Placer(
-            settings, membership, jobs, slices, workers, recorder, budgets, scheduler, fleet::type);
+            settings,
+            membership,
+            jobs,
+            slices,
+            workers,
+            recorder,
+            budgets,
+            scheduler,
+            fleet::type,
+            fleet::zonesOffered);
     fleet.setPlacer(placer);
-    recorder.afterCommit(scheduler::touch);
+    recorder.afterCommit(
+        () -> {
+          scheduler.touch();
+          workerDesk.release();
+        });
     jobsDesk = new JobsDesk(settings, ledger, jobs, outbox, new DeskView());
     workerDesk =
         new WorkerDesk(
@@ -87,6 +100,13 @@
                 return scheduler.orders(worker, report);
               }
 
+              @Override
+              public void place() {
+                if (scheduler.takeChanged()) {
+                  placer.passNow();
+                }
+              }
+
               @Override
               public void adopt(Report report) {
                 fleet.adopt(report);
@@ -112,7 +132,7 @@
     jobsDesk.tick(nowMicros, wallMicros);
     scheduler.tick(nowMicros);
     budgets.tick(nowMicros);
-    placer.tick(nowMicros);
+    placer.tick(nowMicros, wallMicros);
     fleet.tick(nowMicros, wallMicros);
     recorder.tick(nowMicros);
   }
@@ -203,6 +223,9 @@
   private void jobChanged(Job before, Job now) {
     if (before != null || now != null) {
       scheduler.jobChanged(before, now);
+      if (now != null && now.active()) {
+        placer.seen(now);
+      }
     }
   }
 
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -2,14 +2,17 @@
 
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
+import gladeknot.jobs.Job;
 import gladeknot.jobs.JobSpec;
 import gladeknot.ledger.Ledger;
 import gladeknot.ledger.Ledger.Write;
 import gladeknot.ledger.Tokens;
 import gladeknot.membership.Membership;
+import gladeknot.placement.Attempt;
 import gladeknot.placement.Placer;
 import gladeknot.placement.Recorder;
 import gladeknot.placement.Scheduler;
+import gladeknot.placement.Slice;
 import gladeknot.settings.Settings;
 import gladeknot.workers.Report;
 import gladeknot.workers.Worker;
@@ -32,6 +35,25 @@
   private static final long STEP_MICROS = 500_000;
   private static final long LIST_MICROS = 20_000_000;
   private static final int MOST_AT_ONCE = 10;
+  private static final int MOST_FORECAST = 250;
+  private static final int MOST_ERRORS = 4;
+  private static final long SILENT_MICROS = 8_000_000;
+  private static final long LEAST_CHARGED_MICROS = 55_000_000;
+  private static final long KEEP_MICROS = 15_000_000;
+  private static final long KEEP_SPOT_MICROS = 40_000_000;
+  private static final long KEEP_LONG_MICROS = 240_000_000;
+
+  /** How long after a task's end a job is seen to be done. */
+  private static final long TOLD_MICROS = 3_000_000;
+
+  /** How long a replica waits for room before a machine is rented for it. */
+  private static final long SERVICE_MICROS = 2_000_000;
+
+  /** How long work without any aim waits. */
+  private static final long PATIENCE_MICROS = 25_000_000;
+
+  /** What a second of lateness counts against a price an hour, when no offer is in time. */
+  private static final double LATE = 0.05;
 
   private record Offer(MachineType type, String zone, boolean spot) {
     String name() {
@@ -111,6 +133,11 @@
     return types.get(name);
   }
 
+  /** Zones in which some type is offered. */
+  public List<String> zonesOffered() {
+    return types.values().stream().flatMap(t -> t.zones().stream()).distinct().toList();
+  }
+
   public boolean typesKnown() {
     return !types.isEmpty();
   }
@@ -136,10 +163,10 @@
     nextStepMicros = now + STEP_MICROS;
     for (int shard : List.copyOf(membership.owned())) {
       if (membership.commitsFor(shard)) {
-        rent(shard);
         giveBack(shard);
       }
     }
+    rent();
     if (!listing && now >= nextListMicros && membership.entitled()) {
       nextListMicros = now + LIST_MICROS;
       list("");
@@ -177,88 +204,149 @@
         });
   }
 
-  /** Rents for what found no room and will not find it on machines that are coming. */
-  private void rent(int shard) {
-    List<Coming> coming = new ArrayList<>();
-    for (Worker w : workers.of(shard)) {
-      MachineType type = types.get(w.type());
-      if (type != null && w.report() == null && !w.leaving() && w.attempts().isEmpty()) {
-        coming.add(new Coming(type, w.zone(), w.spot()));
-      }
-    }
-    for (Rental r : rentals) {
-      for (int i = 0; i < r.number && r.shard == shard; i++) {
-        coming.add(new Coming(r.offer.type, r.offer.zone, r.offer.spot));
-      }
+  /** Rents for our tasks that would start too late on the machines that are there or coming. */
+  private void rent() {
+    Placer.Queue queue = placer.queue();
+    if (queue.waiting().isEmpty()) {
+      return;
     }
+    Forecast forecast = forecast();
     Map<Offer, Integer> wanted = new LinkedHashMap<>();
-    for (Placer.Need need : placer.needs(shard)) {
+    int shard = -1;
+    int looked = 0;
+    for (Placer.Need need : queue.waiting()) {
       JobSpec spec = need.job().spec();
-      int rest = need.count();
-      for (Coming c : coming) {
-        while (rest > 0 && c.take(spec)) {
-          rest--;
+      // What may be stopped for a task is no hindrance to it: lower ranks are put in after.
+      forecast.admit(spec.rank());
+      long run = placer.estimates().runMicros(spec);
+      int mine = need.ours() ? need.count() : 0;
+      for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
+        looked++;
+        Forecast.Slot slot = forecast.best(spec);
+        long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
+        if (i < mine) {
+          long latest = latestStart(need.job(), run, at);
+          if (at > latest) {
+            Offer offer = choose(spec, need.count() - i, wanted, latest, at);
+            if (offer != null) {
+              shard = need.shard();
+              wanted.merge(offer, 1, Integer::sum);
+              slot = slot(offer, nowMicros + offer.type.readyMicros(), List.of());
+              forecast.add(slot);
+            }
+          }
         }
-      }
-      while (rest > 0) {
-        Offer offer = choose(spec, rest, wanted);
-        if (offer == null) {
+        if (slot == null) {
           break;
         }
-        wanted.merge(offer, 1, Integer::sum);
-        Coming c = new Coming(offer.type, offer.zone, offer.spot);
-        coming.add(c);
-        int before = rest;
-        while (rest > 0 && c.take(spec)) {
-          rest--;
+        forecast.put(slot, spec, run);
+      }
+    }
+    for (Map.Entry<Offer, Integer> e : wanted.entrySet()) {
+      hire(e.getKey(), e.getValue(), shard);
+    }
+  }
+
+  private static Forecast.Slot slot(Offer offer, long from, List<String> images) {
+    return new Forecast.Slot(offer.type, offer.zone, offer.spot, from, images);
+  }
+
+  /** The machines of all shards, as far as the followed copy and the reports tell. */
+  private Forecast forecast() {
+    Forecast forecast = new Forecast();
+    for (Worker w : workers.all()) {
+      MachineType type = types.get(w.type());
+      if (type == null || w.stamp() == 0 || w.leaving() || w.recallAtMicros() != 0) {
+        continue;
+      }
+      boolean ours = membership.owned().contains(w.shard());
+      long age = wallMicros - w.rentedWallMicros();
+      long from = nowMicros;
+      if (ours && w.report() != null) {
+        if (w.errors >= MOST_ERRORS || nowMicros - w.reportMicros() > SILENT_MICROS) {
+          continue;
         }
-        if (rest == before) {
-          break;
+      } else if (w.attempts().isEmpty()) {
+        // Not seen up. One that should be up long since is not counted on.
+        if (age > 2 * type.readyMicros() + SILENT_MICROS && ours) {
+          continue;
+        }
+        from = nowMicros + Math.max(ours ? 1_000_000 : 0, type.readyMicros() - age);
+      }
+      Forecast.Slot slot =
+          new Forecast.Slot(type, w.zone(), w.spot(), from, List.copyOf(w.images()));
+      for (Attempt a : w.attempts().values()) {
+        if (!a.closed()) {
+          Slice s = a.slice();
+          forecast.running(
+              placer.rank(a), slot, from, placer.endsMicros(a), s.cpus(), s.gpus(), s.memory());
         }
       }
+      forecast.add(slot);
     }
-    wanted.forEach((offer, number) -> hire(offer, number, shard));
+    for (Rental r : rentals) {
+      for (int i = 0; i < r.number; i++) {
+        forecast.add(slot(r.offer, nowMicros + r.offer.type.readyMicros(), List.of()));
+      }
+    }
+    return forecast;
   }
 
-  /** A machine that is not up yet, and what is left of it in thought. */
-  private static final class Coming {
-    private final MachineType type;
-    private final String zone;
-    private final boolean spot;
-    private long cpus;
-    private long gpus;
-    private long memory;
-
-    private Coming(MachineType type, String zone, boolean spot) {
-      this.type = type;
-      this.zone = zone;
-      this.spot = spot;
-      this.cpus = type.cpus();
-      this.gpus = type.gpus();
-      this.memory = type.memory();
+  /**
+   * When a task of a job has to run by for the next of the job's aims that can still be met; if
+   * none can, it is work without an aim.
+   */
+  private long latestStart(Job job, long run, long at) {
+    JobSpec spec = job.spec();
+    long age = Math.max(0, wallMicros - job.submittedMicros());
+    if (spec.dueMicros() > 0) {
+      long soonest = soonest(spec);
+      for (Settings.Objective o : settings.objectives()) {
+        if (o.kind().equals("deadline") && spec.jobClass().equals(o.jobClass())) {
+          long left = (long) (spec.dueMicros() * o.times()) - age - run - TOLD_MICROS;
+          if (left >= soonest || nowMicros + left >= at) {
+            return nowMicros + left;
+          }
+        }
+      }
+      return nowMicros + PATIENCE_MICROS;
+    }
+    if (spec.shape() == JobSpec.Shape.SERVICE) {
+      return nowMicros + SERVICE_MICROS;
     }
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.kind().equals("wait") && spec.jobClass().equals(o.jobClass())) {
+        return nowMicros + Math.max(0, o.withinMicros() - age);
+      }
+    }
+    return nowMicros + PATIENCE_MICROS;
+  }
 
-    private boolean take(JobSpec spec) {
-      if (!spec.allows(type.name(), zone, spot)
-          || cpus < spec.cpus()
-          || gpus < spec.gpus()
-          || memory < spec.memory()) {
-        return false;
+  /** How soon a machine rented now could run a task. */
+  private long soonest(JobSpec spec) {
+    long soonest = Forecast.NEVER;
+    for (MachineType type : types.values()) {
+      if (type.fits(spec) > 0 && (spec.types() == null || spec.types().contains(type.name()))) {
+        long fetch = (long) (spec.imageGb() / type.fetchGbPerS() * 1e6);
+        soonest = Math.min(soonest, type.readyMicros() + fetch);
       }
-      cpus -= spec.cpus();
-      gpus -= spec.gpus();
-      memory -= spec.memory();
-      return true;
     }
+    return soonest;
   }
 
-  /** The cheapest offer for so many tasks, weighing in how long it takes to come up. */
-  private Offer choose(JobSpec spec, int count, Map<Offer, Integer> wanted) {
+  /** The cheapest offer that is up in time, or the soonest if none is; null if none helps. */
+  private Offer choose(
+      JobSpec spec, int count, Map<Offer, Integer> wanted, long latest, long otherwise) {
     Offer best = null;
     double bestScore = 0;
     for (MachineType type : types.values()) {
       int fits = type.fits(spec);
-      if (fits == 0 || (spec.gpus() == 0 && type.gpus() > 0)) {
+      if (fits == 0
+          || (spec.gpus() == 0 && type.gpus() > 0 && spec.shape() == JobSpec.Shape.SERVICE)) {
+        continue;
+      }
+      long up = nowMicros + type.readyMicros() + (long) (spec.imageGb() / type.fetchGbPerS() * 1e6);
+      if (up >= otherwise) {
         continue;
       }
       for (String zone : type.zones()) {
@@ -270,8 +358,11 @@
               || wanted.getOrDefault(offer, 0) >= MOST_AT_ONCE) {
             continue;
           }
-          double perTask = type.price(spot) / Math.min(fits, count);
-          double score = perTask * (1 + type.readyMicros() / 60e6);
+          double score = type.price(spot) / Math.min(fits, count);
+          score *= 1 + type.readyMicros() / 60e6;
+          if (up > latest) {
+            score += LATE * (up - latest) / 1e6;
+          }
           // Both zones get machines where tasks are to be spread.
           if (spec.scatter()) {
             score *= 1 + 0.05 * machinesIn(zone);
@@ -406,7 +497,8 @@
         if (w.idleSinceMicros == 0) {
           w.idleSinceMicros = nowMicros;
         }
-        if (nowMicros - w.idleSinceMicros > 45_000_000) {
+        if (nowMicros - w.idleSinceMicros > keepMicros(w, type)
+            && wallMicros - w.rentedWallMicros() > LEAST_CHARGED_MICROS) {
           why = "idle";
         }
       } else {
@@ -418,6 +510,29 @@
     }
   }
 
+  /** How long an idle machine is kept: longer where starts are wanted sooner than one boots. */
+  private long keepMicros(Worker w, MachineType type) {
+    if (type == null) {
+      return 0;
+    }
+    for (Job job : placer.recent()) {
+      JobSpec spec = job.spec();
+      if (type.fits(spec) == 0
+          || !spec.allows(type.name(), w.zone(), w.spot())
+          || (spec.gpus() == 0 && type.gpus() > 0)) {
+        continue;
+      }
+      for (Settings.Objective o : settings.objectives()) {
+        if (o.kind().equals("wait")
+            && spec.jobClass().equals(o.jobClass())
+            && o.withinMicros() < type.readyMicros()) {
+          return KEEP_LONG_MICROS;
+        }
+      }
+    }
+    return w.spot() ? KEEP_SPOT_MICROS : KEEP_MICROS;
+  }
+
   private void release(Worker w, String why) {
     w.releasing = true;
     int shard = w.shard();
--- /dev/null
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -0,0 +1,123 @@
+package gladeknot.fleet;
+
+import gladeknot.jobs.JobSpec;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * When waiting tasks will start on the machines there are: each machine's room over time, as
+ * running tasks end and machines come up. Tasks are put in one after the other.
+ */
+final class Forecast {
+  static final long NEVER = Long.MAX_VALUE / 4;
+
+  /** A machine's room over time. */
+  static final class Slot {
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    final List<String> images;
+    private final List<long[]> events = new ArrayList<>();
+
+    /** A machine that is empty from a time on. */
+    Slot(MachineType type, String zone, boolean spot, long fromMicros, List<String> images) {
+      this.type = type;
+      this.zone = zone;
+      this.spot = spot;
+      this.images = images;
+      add(fromMicros, type.cpus(), type.gpus(), type.memory());
+    }
+
+    private void add(long at, long cpus, long gpus, long memory) {
+      int i = events.size();
+      while (i > 0 && events.get(i - 1)[0] > at) {
+        i--;
+      }
+      events.add(i, new long[] {at, cpus, gpus, memory});
+    }
+
+    /** Takes room from a time to another. */
+    void take(long from, long to, long cpus, long gpus, long memory) {
+      add(from, -cpus, -gpus, -memory);
+      if (to < NEVER) {
+        add(to, cpus, gpus, memory);
+      }
+    }
+
+    /** When a task could start; NEVER if it can't. */
+    long earliest(JobSpec spec) {
+      if (!spec.allows(type.name(), zone, spot) || type.fits(spec) == 0) {
+        return NEVER;
+      }
+      long c = 0;
+      long g = 0;
+      long m = 0;
+      for (int i = 0; i < events.size(); i++) {
+        long[] e = events.get(i);
+        c += e[1];
+        g += e[2];
+        m += e[3];
+        boolean last = i + 1 == events.size() || events.get(i + 1)[0] > e[0];
+        if (last && c >= spec.cpus() && g >= spec.gpus() && m >= spec.memory()) {
+          return e[0];
+        }
+      }
+      return NEVER;
+    }
+
+    long fetchMicros(JobSpec spec) {
+      return images.contains(spec.image()) ? 0 : (long) (spec.imageGb() / type.fetchGbPerS() * 1e6);
+    }
+  }
+
+  private record Running(
+      JobSpec.Rank rank, Slot slot, long from, long to, long cpus, long gpus, long memory) {}
+
+  private final List<Slot> slots = new ArrayList<>();
+  private final List<Running> running = new ArrayList<>();
+
+  /** Notes a task that runs; it counts once its rank has been admitted. */
+  void running(
+      JobSpec.Rank rank, Slot slot, long from, long to, long cpus, long gpus, long memory) {
+    running.add(new Running(rank, slot, from, to, cpus, gpus, memory));
+  }
+
+  /** From here on, running tasks of a rank and of those above it take their room. */
+  void admit(JobSpec.Rank rank) {
+    running.removeIf(
+        r -> {
+          if (r.rank().ordinal() > rank.ordinal()) {
+            return false;
+          }
+          r.slot().take(r.from(), r.to(), r.cpus(), r.gpus(), r.memory());
+          return true;
+        });
+  }
+
+  void add(Slot slot) {
+    slots.add(slot);
+  }
+
+  /** Where a task would finish first; null if nowhere. */
+  Slot best(JobSpec spec) {
+    Slot best = null;
+    long bestAt = NEVER;
+    for (Slot slot : slots) {
+      long at = slot.earliest(spec);
+      if (at < NEVER && at + slot.fetchMicros(spec) < bestAt) {
+        best = slot;
+        bestAt = at + slot.fetchMicros(spec);
+      }
+    }
+    return best;
+  }
+
+  /** Puts a task on a machine and returns when it would be running. */
+  long put(Slot slot, JobSpec spec, long runMicros) {
+    long at = slot.earliest(spec);
+    long running = at + slot.fetchMicros(spec);
+    long end = runMicros >= NEVER ? NEVER : running + runMicros;
+    slot.take(at, end, spec.cpus(), spec.gpus(), spec.memory());
+    return running;
+  }
+}
--- a/src/main/java/gladeknot/placement/Attempt.java
+++ b/src/main/java/gladeknot/placement/Attempt.java
@@ -26,6 +26,9 @@
   /** Closed because it completed. */
   boolean finished;
 
+  /** Read from a record: how long it has run is not known. */
+  boolean rebuilt;
+
   /** Whether its run may have reached the worker. */
   boolean sent;
 
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -1,5 +1,7 @@
 package gladeknot.placement;
 
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
 import gladeknot.fleet.MachineType;
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobBook;
@@ -11,6 +13,7 @@
 import gladeknot.workers.WorkerBook;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -18,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,6 +40,11 @@
 
   private static final long FOREIGN_STEP_MICROS = 1_500_000;
 
+  /** From a decision to a running task, where nothing is known yet. */
+  private static final long START_MICROS = 4_000_000;
+
+  private static final int RECENT_CLASSES = 200;
+
   /** Room kept in a record for what else it holds. */
   private static final int RECORD_OVERHEAD = 400;
 
@@ -46,10 +55,14 @@
     MachineType get(String name);
   }
 
-  /** Tasks of one slice that no machine of ours has room for. */
-  public record Need(Job job, int shard, int count) {}
+  /** Tasks of one slice that wait for room. */
+  public record Need(Job job, int shard, int count, boolean ours) {}
+
+  /** All that waits for room, in the order in which it would get it. */
+  public record Queue(List<Need> waiting) {}
 
-  private record Waiting(Slice slice, Job job, boolean foreign) {}
+  /** A slice with tasks to start; {@code key} orders those of one rank. */
+  private record Waiting(Slice slice, Job job, boolean foreign, long key) {}
 
   private final Settings settings;
   private final Membership membership;
@@ -61,11 +74,14 @@
   private final Scheduler scheduler;
   private final Types types;
   private final Preemption preemption;
-  private final Map<Integer, List<Need>> needs = new HashMap<>();
+  private final Supplier<List<String>> zonesOffered;
+  private final Cache<String, Job> recent =
+      CacheBuilder.newBuilder().maximumSize(RECENT_CLASSES).build();
   private final Map<String, Budgets.Amount> left = new HashMap<>();
   private long nextMicros;
   private long againMicros;
   private long nowMicros;
+  private long wallMicros;
 
   public Placer(
       Settings settings,
@@ -76,7 +92,8 @@
       Recorder recorder,
       Budgets budgets,
       Scheduler scheduler,
-      Types types) {
+      Types types,
+      Supplier<List<String>> zonesOffered) {
     this.settings = settings;
     this.membership = membership;
     this.jobs = jobs;
@@ -86,23 +103,99 @@
     this.budgets = budgets;
     this.scheduler = scheduler;
     this.types = types;
+    this.zonesOffered = zonesOffered;
     this.preemption = new Preemption(settings, jobs, slices);
   }
 
-  /** What found no room in the last pass. */
-  public List<Need> needs(int shard) {
-    return needs.getOrDefault(shard, List.of());
+  /** What waits in all shards. */
+  public Queue queue() {
+    List<Waiting> all = new ArrayList<>();
+    for (int shard = 0; shard < membership.shards(); shard++) {
+      boolean ours = membership.commitsFor(shard);
+      for (Slice s : slices.of(shard)) {
+        Job job = jobs.active(s.job());
+        if (job != null && s.todoCount() > 0 && nowMicros >= s.restUntilMicros) {
+          all.add(new Waiting(s, job, !ours, key(job)));
+        }
+      }
+    }
+    all.sort(QUEUE_ORDER);
+    List<Need> queue = new ArrayList<>();
+    Map<String, Budgets.Amount> open = new HashMap<>();
+    for (Waiting w : all) {
+      JobSpec spec = w.job().spec();
+      int count = w.slice().todoCount();
+      // What its team's limit keeps from running anywhere needs no machine.
+      Budgets.Amount a = open.computeIfAbsent(spec.team(), budgets::openAnywhere);
+      long n = Math.min(count, a.cpus() / spec.cpus());
+      if (spec.gpus() > 0) {
+        n = Math.min(n, a.gpus() / spec.gpus());
+      }
+      if (spec.shape() == JobSpec.Shape.SERVICE && spec.scatter()) {
+        n = Math.min(n, zonesLeft(w.slice(), spec));
+      }
+      if (n > 0) {
+        open.put(
+            spec.team(),
+            new Budgets.Amount(a.cpus() - spec.cpus() * n, a.gpus() - spec.gpus() * n));
+        queue.add(new Need(w.job(), w.slice().shard(), (int) n, !w.foreign()));
+      }
+    }
+    return new Queue(queue);
+  }
+
+  /** How many more tasks of a spread job have a zone to go to. */
+  private long zonesLeft(Slice s, JobSpec spec) {
+    Map<String, Integer> counts = slices.zoneCounts(s.job());
+    long left = 0;
+    for (String zone : zonesOffered.get()) {
+      left += Math.max(0, spec.perZone() - counts.getOrDefault(zone, 0));
+    }
+    return left;
   }
 
-  public void tick(long now) {
+  public Estimates estimates() {
+    return scheduler.estimates();
+  }
+
+  /** When an attempt is likely to end. */
+  public long endsMicros(Attempt a) {
+    Job job = jobs.active(a.slice().job());
+    if (job == null || a.killed()) {
+      return nowMicros + 1_000_000;
+    }
+    long run = estimates().runMicros(job.spec());
+    if (run >= Long.MAX_VALUE / 4) {
+      return run;
+    }
+    long from = a.runningSinceMicros != 0 ? a.runningSinceMicros : a.decidedMicros() + START_MICROS;
+    return Math.max(nowMicros + run / 10, from + run);
+  }
+
+  /** The newest job of each class that has been seen. */
+  public Collection<Job> recent() {
+    return recent.asMap().values();
+  }
+
+  /** Notes a job that has come. */
+  public void seen(Job job) {
+    recent.put(job.spec().jobClass(), job);
+  }
+
+  public void tick(long now, long wall) {
     nowMicros = now;
+    wallMicros = wall;
     if (now < nextMicros || (now < againMicros && !scheduler.takeChanged())) {
       return;
     }
-    nextMicros = now + PASS_MICROS;
-    againMicros = now + AGAIN_MICROS;
+    passNow();
+  }
+
+  /** Decides starts at once. */
+  public void passNow() {
+    nextMicros = nowMicros + PASS_MICROS;
+    againMicros = nowMicros + AGAIN_MICROS;
     for (int shard = 0; shard < membership.shards(); shard++) {
-      needs.remove(shard);
       if (membership.commitsFor(shard)) {
         pass(shard);
       }
@@ -138,30 +231,55 @@
       waiting(from, shard, all);
     }
     all.sort(ORDER);
-    List<Need> unplaced = new ArrayList<>();
     for (Waiting w : all) {
       int rest = w.foreign() ? claim(w, shard, rooms) : place(w, rooms, shard);
       if (rest > 0) {
-        rest = await(w, rest, rooms, shard);
-      }
-      if (rest > 0 && !w.foreign()) {
-        unplaced.add(new Need(w.job(), shard, rest));
+        await(w, rest, rooms, shard);
       }
     }
-    needs.put(shard, unplaced);
   }
 
   /** Priority first, then the own shard's, then what is due first, then what came first. */
   private static final Comparator<Waiting> ORDER =
       Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
           .thenComparing(Waiting::foreign)
-          .thenComparingLong(w -> dueMicros(w.job()))
+          .thenComparingLong(Waiting::key)
+          .thenComparingLong(w -> w.job().submittedMicros())
+          .thenComparing(w -> w.job().id());
+
+  /** The same without regard to whose it is. */
+  private static final Comparator<Waiting> QUEUE_ORDER =
+      Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
+          .thenComparingLong(Waiting::key)
           .thenComparingLong(w -> w.job().submittedMicros())
           .thenComparing(w -> w.job().id());
 
-  private static long dueMicros(Job job) {
-    long due = job.spec().dueMicros();
-    return due == 0 ? Long.MAX_VALUE : job.submittedMicros() + due;
+  /**
+   * What is due first comes first, by the first of the class's deadlines that can still be met;
+   * work that is late for all of them comes after, and does not hold up what can be in time.
+   */
+  private long key(Job job) {
+    JobSpec spec = job.spec();
+    if (spec.dueMicros() == 0) {
+      return Long.MAX_VALUE / 2;
+    }
+    long run = estimates().runMicros(spec);
+    long age = Math.max(0, wallMicros - job.submittedMicros());
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.kind().equals("deadline") && spec.jobClass().equals(o.jobClass())) {
+        long due = (long) (spec.dueMicros() * o.times());
+        if (age + run <= due) {
+          return job.submittedMicros() + due;
+        }
+      }
+    }
+    return Long.MAX_VALUE / 4 + job.submittedMicros();
+  }
+
+  /** A running task's rank; what belongs to a job that is over is as good as gone. */
+  public JobSpec.Rank rank(Attempt a) {
+    Job job = jobs.active(a.slice().job());
+    return job == null ? JobSpec.Rank.IDLE : job.spec().rank();
   }
 
   /** The slices of one shard that wait; those of others only once they have waited a while. */
@@ -183,7 +301,7 @@
         s.waitingSinceMicros = nowMicros;
       }
       if (!foreign || nowMicros - s.waitingSinceMicros >= CLAIM_AFTER_MICROS) {
-        into.add(new Waiting(s, job, foreign));
+        into.add(new Waiting(s, job, foreign, key(job)));
       }
     }
   }
@@ -397,7 +515,7 @@
       task = from.nextTodo(task + 1);
     }
     own.assigned.or(tasks);
-    place(new Waiting(own, w.job(), false), rooms, shard);
+    place(new Waiting(own, w.job(), false, w.key()), rooms, shard);
     for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
       if (!own.out.containsKey(t)) {
         tasks.clear(t);
@@ -416,9 +534,9 @@
 
   /**
    * For tasks that found no room: holds room that is being freed, and stops others for them where
-   * that is allowed. Returns how many tasks remain without any.
+   * that is allowed.
    */
-  private int await(Waiting w, int count, List<Room> rooms, int shard) {
+  private void await(Waiting w, int count, List<Room> rooms, int shard) {
     JobSpec spec = w.job().spec();
     long waited = nowMicros - w.slice().waitingSinceMicros;
     boolean gang = spec.shape() == JobSpec.Shape.GANG;
@@ -484,8 +602,6 @@
           rest--;
         }
       }
-      return w.foreign() ? 0 : count;
     }
-    return rest;
   }
 }
--- a/src/main/java/gladeknot/placement/Preemption.java
+++ b/src/main/java/gladeknot/placement/Preemption.java
@@ -67,10 +67,16 @@
         && (spec.gpus() == 0 || u[1] + spec.gpus() <= team.gpus());
   }
 
+  /**
+   * Whether a team keeps its guarantee without a task. One that would fall below it would only stop
+   * others' tasks in turn, and so on without end.
+   */
   private boolean beyondGuarantee(Slice s) {
     Settings.Team team = settings.teams().get(s.team());
     long[] u = used(s.team());
-    return team != null && (u[0] > team.cpus() || (s.gpus() > 0 && u[1] > team.gpus()));
+    return team != null
+        && u[0] - s.cpus() >= team.cpus()
+        && (s.gpus() == 0 || u[1] - s.gpus() >= team.gpus());
   }
 
   private boolean mayStop(JobSpec spec, Attempt a) {
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -39,6 +39,7 @@
   private final Recorder recorder;
   private final Outbox outbox;
   private final ImageSizes types;
+  private final Estimates estimates = new Estimates();
   private final Set<String> finishing = new HashSet<>();
   private long nowMicros;
   private long nextCheckMicros;
@@ -75,6 +76,10 @@
     return was;
   }
 
+  public Estimates estimates() {
+    return estimates;
+  }
+
   public void touch() {
     changed = true;
   }
@@ -258,7 +263,11 @@
     switch (cause) {
       case "done" -> {
         a.finished = true;
-        s.finish(a.task(), jobs.active(s.job()));
+        Job job = jobs.active(s.job());
+        s.finish(a.task(), job);
+        if (job != null && a.runningSinceMicros != 0 && !a.rebuilt) {
+          estimates.finished(job.spec(), nowMicros - a.runningSinceMicros);
+        }
         s.failures = 0;
         worker.errors = 0;
       }
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -153,6 +153,7 @@
         a.committed = true;
         // Whether its run was sent is not recorded: it may have been.
         a.sent = true;
+        a.rebuilt = true;
         attempts.add(a);
       }
     }
--- a/src/main/java/gladeknot/teams/Budgets.java
+++ b/src/main/java/gladeknot/teams/Budgets.java
@@ -125,6 +125,15 @@
         .minus(giving.getOrDefault(team + "/" + shard, NONE));
   }
 
+  /** What a team may still start over all shards. */
+  public Amount openAnywhere(String team) {
+    Amount sum = NONE;
+    for (int shard = 0; shard < membership.shards(); shard++) {
+      sum = sum.plus(budget(team, shard).minus(usage(team, shard)));
+    }
+    return sum.atLeastZero();
+  }
+
   public void tick(long now) {
     nowMicros = now;
     if (now < nextMicros || !ledger.loaded()) {
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -99,6 +99,10 @@
     return images.containsKey(image);
   }
 
+  public java.util.Collection<String> images() {
+    return images.keySet();
+  }
+
   /** Forgets the session, as when its shard has come from another controller. */
   void forget() {
     report = null;
@@ -156,6 +160,11 @@
     return recallAtMicros;
   }
 
+  /** Whether something decided for it waits to be committed. */
+  boolean commitsPending() {
+    return attempts.values().stream().anyMatch(a -> a.closed() || !a.committed());
+  }
+
   public Map<String, Attempt> attempts() {
     return attempts;
   }
--- a/src/main/java/gladeknot/workers/WorkerDesk.java
+++ b/src/main/java/gladeknot/workers/WorkerDesk.java
@@ -5,6 +5,7 @@
 import gladeknot.ledger.Ledger;
 import gladeknot.membership.Membership;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -19,15 +20,24 @@
     /** The commands that follow from a report just taken in. */
     List<Map<String, Object>> orders(Worker worker, Report report);
 
+    /** Decides starts, if something has changed. */
+    void place();
+
     /** Makes an unexpected machine ours. */
     void adopt(Report report);
   }
 
+  /** Far below what a worker waits for an answer, and above what a commit mostly takes. */
+  private static final long HOLD_MICROS = 150_000;
+
+  private record Held(long request, Worker worker, Report report, long untilMicros) {}
+
   private final Ledger ledger;
   private final Membership membership;
   private final WorkerBook workers;
   private final Outbox outbox;
   private final Sync sync;
+  private final List<Held> held = new ArrayList<>();
   private long nowMicros;
 
   public WorkerDesk(
@@ -41,6 +51,7 @@
 
   public void tick(long now) {
     nowMicros = now;
+    release();
   }
 
   /** POST /hello. */
@@ -93,7 +104,37 @@
     }
     worker.report(report, nowMicros);
     List<Map<String, Object>> orders = sync.orders(worker, report);
+    sync.place();
+    if (worker.commitsPending()) {
+      // A commit that concerns this worker is on its way: what follows from it goes with this
+      // answer, rather than with that to its next report.
+      held.add(new Held(request, worker, report, nowMicros + HOLD_MICROS));
+      return;
+    }
+    answer(request, worker, orders);
+  }
+
+  private void answer(long request, Worker worker, List<Map<String, Object>> orders) {
     worker.answered(nowMicros);
+    long term = membership.term(worker.shard());
     outbox.answer(request, 200, Json.of("fence", term, "orders", orders));
   }
+
+  /** Answers what was held for a commit that has ended, or that takes too long. */
+  public void release() {
+    if (held.isEmpty()) {
+      return;
+    }
+    for (Held h : List.copyOf(held)) {
+      if (h.worker().commitsPending() && nowMicros < h.untilMicros()) {
+        continue;
+      }
+      held.remove(h);
+      if (h.worker().report() == h.report() && membership.actsFor(h.worker().shard())) {
+        answer(h.request(), h.worker(), sync.orders(h.worker(), h.report()));
+      } else {
+        outbox.comeBack(h.request(), 503, "its controller is changing", 1);
+      }
+    }
+  }
 }
