--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -62,7 +62,7 @@
   public record Queue(List<Need> waiting) {}
 
   /** A slice with tasks to start; {@code key} orders those of one rank. */
-  private record Waiting(Slice slice, Job job, boolean foreign, long key) {}
+  private record Waiting(Slice slice, Job job, boolean foreign, boolean guaranteed, long key) {}
 
   private final Settings settings;
   private final Membership membership;
@@ -115,7 +115,7 @@
       for (Slice s : slices.of(shard)) {
         Job job = jobs.active(s.job());
         if (job != null && s.todoCount() > 0 && nowMicros >= s.restUntilMicros) {
-          all.add(new Waiting(s, job, !ours, key(job)));
+          all.add(new Waiting(s, job, !ours, preemption.guaranteed(job.id()), key(job)));
         }
       }
     }
@@ -239,9 +239,13 @@
     }
   }
 
-  /** Priority first, then the own shard's, then what is due first, then what came first. */
+  /**
+   * Priority first, then guarantees, then the own shard's, then what is due first, then what came
+   * first.
+   */
   private static final Comparator<Waiting> ORDER =
       Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
+          .thenComparing(w -> !w.guaranteed())
           .thenComparing(Waiting::foreign)
           .thenComparingLong(Waiting::key)
           .thenComparingLong(w -> w.job().submittedMicros())
@@ -250,6 +254,7 @@
   /** The same without regard to whose it is. */
   private static final Comparator<Waiting> QUEUE_ORDER =
       Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
+          .thenComparing(w -> !w.guaranteed())
           .thenComparingLong(Waiting::key)
           .thenComparingLong(w -> w.job().submittedMicros())
           .thenComparing(w -> w.job().id());
@@ -301,7 +306,7 @@
         s.waitingSinceMicros = nowMicros;
       }
       if (!foreign || nowMicros - s.waitingSinceMicros >= CLAIM_AFTER_MICROS) {
-        into.add(new Waiting(s, job, foreign, key(job)));
+        into.add(new Waiting(s, job, foreign, preemption.guaranteed(job.id()), key(job)));
       }
     }
   }
@@ -515,7 +520,7 @@
       task = from.nextTodo(task + 1);
     }
     own.assigned.or(tasks);
-    place(new Waiting(own, w.job(), false, w.key()), rooms, shard);
+    place(new Waiting(own, w.job(), false, w.guaranteed(), w.key()), rooms, shard);
     for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
       if (!own.out.containsKey(t)) {
         tasks.clear(t);
--- a/src/main/java/gladeknot/placement/Preemption.java
+++ b/src/main/java/gladeknot/placement/Preemption.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -28,6 +29,8 @@
   /** CPUs and GPUs by team over all shards, worked out anew for each pass. */
   private final Map<String, long[]> used = new HashMap<>();
 
+  private final Set<String> guaranteed = new HashSet<>();
+
   Preemption(Settings settings, JobBook jobs, SliceBook slices) {
     this.settings = settings;
     this.jobs = jobs;
@@ -41,6 +44,7 @@
 
   /** Counts anew what each team uses. */
   void refresh(int shards) {
+    findGuaranteed();
     used.clear();
     for (int shard = 0; shard < shards; shard++) {
       for (Slice s : slices.of(shard)) {
@@ -58,19 +62,37 @@
     return used.computeIfAbsent(team, t -> new long[2]);
   }
 
-  /** Whether a task would stay within its team's guarantee. */
-  private boolean withinGuarantee(JobSpec spec) {
-    Settings.Team team = settings.teams().get(spec.team());
-    long[] u = used(spec.team());
-    return team != null
-        && u[0] + spec.cpus() <= team.cpus()
-        && (spec.gpus() == 0 || u[1] + spec.gpus() <= team.gpus());
-  }
-
   /**
-   * Whether a team keeps its guarantee without a task. One that would fall below it would only stop
-   * others' tasks in turn, and so on without end.
+   * Whether a job fits into its team's guarantee together with the team's earlier unfinished jobs.
+   * Such a job goes before others of its priority, and only jobs that are not like that may be
+   * stopped for it: so nothing is stopped by turns.
    */
+  boolean guaranteed(String job) {
+    return guaranteed.contains(job);
+  }
+
+  private void findGuaranteed() {
+    guaranteed.clear();
+    Map<String, long[]> sums = new HashMap<>();
+    List<Job> order = new ArrayList<>(jobs.active());
+    order.sort(Comparator.comparingLong(Job::submittedMicros).thenComparing(Job::id));
+    for (Job job : order) {
+      JobSpec spec = job.spec();
+      Settings.Team team = settings.teams().get(spec.team());
+      long open = job.tasks();
+      for (Slice s : slices.of(job.id())) {
+        open -= s.done.cardinality();
+      }
+      long[] sum = sums.computeIfAbsent(spec.team(), t -> new long[2]);
+      sum[0] += spec.cpus() * open;
+      sum[1] += spec.gpus() * open;
+      if (team != null && sum[0] <= team.cpus() && (spec.gpus() == 0 || sum[1] <= team.gpus())) {
+        guaranteed.add(job.id());
+      }
+    }
+  }
+
+  /** Whether a team keeps its guarantee without a task. */
   private boolean beyondGuarantee(Slice s) {
     Settings.Team team = settings.teams().get(s.team());
     long[] u = used(s.team());
@@ -89,7 +111,8 @@
     }
     return !job.spec().team().equals(spec.team())
         && job.spec().rank().ordinal() >= spec.rank().ordinal()
-        && withinGuarantee(spec)
+        && guaranteed(spec.id())
+        && !guaranteed(job.id())
         && beyondGuarantee(a.slice());
   }
 
