--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -223,8 +223,8 @@
   private void jobChanged(Job before, Job now) {
     if (before != null || now != null) {
       scheduler.jobChanged(before, now);
-      if (now != null && now.active()) {
-        placer.seen(now);
+      if (before == null && now != null && now.active()) {
+        fleet.came(now);
       }
     }
   }
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -18,6 +18,7 @@
 import gladeknot.workers.Worker;
 import gladeknot.workers.WorkerBook;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -40,8 +41,20 @@
   private static final long SILENT_MICROS = 8_000_000;
   private static final long LEAST_CHARGED_MICROS = 55_000_000;
   private static final long KEEP_MICROS = 15_000_000;
-  private static final long KEEP_SPOT_MICROS = 40_000_000;
-  private static final long KEEP_LONG_MICROS = 240_000_000;
+  private static final long PLAN_MICROS = 1_500_000;
+  private static final long TURN_MICROS = 4_000_000;
+
+  /** Over which time arrivals are counted. */
+  private static final long WINDOW_MICROS = 150_000_000;
+
+  /** How far ahead room is kept for services that are to start sooner than a machine boots. */
+  private static final double SERVICE_AHEAD_S = 60;
+
+  /** How many standard deviations above the mean there is to be room for. */
+  private static final double SPREAD = 1.3;
+
+  /** How full machines are to be with work that has a deadline. */
+  private static final double FILL = 0.75;
 
   /** How long after a task's end a job is seen to be done. */
   private static final long TOLD_MICROS = 3_000_000;
@@ -96,11 +109,14 @@
   private final List<Rental> rentals = new ArrayList<>();
   private final Set<String> adopting = new HashSet<>();
   private final Map<String, Long> strangers = new HashMap<>();
+  private final Demand demand = new Demand();
+  private final Set<String> unneeded = new HashSet<>();
   private final Set<String> releases = new HashSet<>();
   private boolean askingTypes;
   private long nextTypesMicros;
   private long nextStepMicros;
   private long nextListMicros;
+  private long nextPlanMicros;
   private boolean listing;
   private long rentalCount;
   private long nowMicros;
@@ -167,6 +183,10 @@
       }
     }
     rent();
+    if (now >= nextPlanMicros) {
+      nextPlanMicros = now + PLAN_MICROS;
+      plan();
+    }
     if (!listing && now >= nextListMicros && membership.entitled()) {
       nextListMicros = now + LIST_MICROS;
       list("");
@@ -220,14 +240,15 @@
       forecast.admit(spec.rank());
       long run = placer.estimates().runMicros(spec);
       int mine = need.ours() ? need.count() : 0;
+      Map<String, Integer> inZone = new HashMap<>(need.inZone());
       for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
         looked++;
-        Forecast.Slot slot = forecast.best(spec);
+        Forecast.Slot slot = forecast.best(spec, inZone);
         long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
         if (i < mine) {
           long latest = latestStart(need.job(), run, at);
           if (at > latest) {
-            Offer offer = choose(spec, need.count() - i, wanted, latest, at);
+            Offer offer = choose(spec, inZone, need.count() - i, wanted, latest, at);
             if (offer != null) {
               shard = need.shard();
               wanted.merge(offer, 1, Integer::sum);
@@ -240,6 +261,7 @@
           break;
         }
         forecast.put(slot, spec, run);
+        inZone.merge(slot.zone, 1, Integer::sum);
       }
     }
     for (Map.Entry<Offer, Integer> e : wanted.entrySet()) {
@@ -247,6 +269,106 @@
     }
   }
 
+  /**
+   * Compares what is likely to run, by what has come of late, with the machines there are. What has
+   * no place is rented ahead, by one controller at a time; machines left empty may be given back.
+   */
+  private void plan() {
+    Capacity capacity = new Capacity();
+    for (Worker w : workers.all()) {
+      MachineType type = types.get(w.type());
+      if (type != null && w.stamp() != 0 && !w.leaving() && w.recallAtMicros() == 0) {
+        capacity.add(new Capacity.Box(w.host(), type, w.zone(), w.spot()));
+      }
+    }
+    for (Rental r : rentals) {
+      for (int i = 0; i < r.number; i++) {
+        capacity.add(new Capacity.Box("", r.offer.type, r.offer.zone, r.offer.spot));
+      }
+    }
+    capacity.sort();
+    Map<Offer, Integer> wanted = new LinkedHashMap<>();
+    for (Job job : placer.services()) {
+      Map<String, Integer> inZone = new HashMap<>();
+      for (int i = 0; i < job.tasks(); i++) {
+        if (!capacity.put(job.spec(), inZone)) {
+          break;
+        }
+      }
+    }
+    List<Demand.Load> loads =
+        new ArrayList<>(demand.loads(wallMicros, WINDOW_MICROS, placer.estimates()).values());
+    loads.sort(Comparator.comparing((Demand.Load l) -> l.like().rank()));
+    for (Demand.Load load : loads) {
+      JobSpec spec = load.like();
+      int tasks = (int) Math.ceil(target(load));
+      Map<String, Integer> inZone = new HashMap<>();
+      for (int i = 0; i < tasks && i < MOST_FORECAST; i++) {
+        if (i % Math.max(1, spec.tasks()) == 0) {
+          inZone.clear();
+        }
+        if (capacity.put(spec, inZone)) {
+          continue;
+        }
+        Offer offer = choose(spec, inZone, tasks - i, wanted, Forecast.NEVER, Forecast.NEVER);
+        if (offer == null) {
+          break;
+        }
+        wanted.merge(offer, 1, Integer::sum);
+        capacity.add(new Capacity.Box("", offer.type, offer.zone, offer.spot));
+        if (!capacity.put(spec, inZone)) {
+          break;
+        }
+      }
+    }
+    unneeded.clear();
+    for (Capacity.Box box : capacity.boxes()) {
+      if (!box.used()) {
+        unneeded.add(box.host);
+      }
+    }
+    // One shard's owner rents ahead at a time, in turns by the time of day.
+    int shard = (int) (wallMicros / TURN_MICROS % membership.shards());
+    if (membership.commitsFor(shard)) {
+      for (Map.Entry<Offer, Integer> e : wanted.entrySet()) {
+        hire(e.getKey(), e.getValue(), shard);
+      }
+    }
+  }
+
+  /** How many tasks of a class there should be room for. */
+  private double target(Demand.Load load) {
+    JobSpec spec = load.like();
+    Settings.Objective wait = objective("wait", spec.jobClass());
+    if (spec.shape() == JobSpec.Shape.SERVICE) {
+      if (wait == null) {
+        return 0;
+      }
+      double coming = load.jobsPerS() * SERVICE_AHEAD_S;
+      return (coming + SPREAD * Math.sqrt(coming)) * load.tasksPerJob();
+    }
+    if (wait != null) {
+      return load.tasks() + SPREAD * Math.sqrt(load.tasks() * load.tasksPerJob());
+    }
+    return load.tasks() / FILL;
+  }
+
+  private Settings.Objective objective(String kind, String jobClass) {
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.kind().equals(kind) && jobClass.equals(o.jobClass())) {
+        return o;
+      }
+    }
+    return null;
+  }
+
+  /** Notes a job that has come. */
+  public void came(Job job) {
+    if (wallMicros - job.submittedMicros() < WINDOW_MICROS) {
+      demand.came(job);
+    }
+  }
+
   private static Forecast.Slot slot(Offer offer, long from, List<String> images) {
     return new Forecast.Slot(offer.type, offer.zone, offer.spot, from, images);
   }
@@ -336,7 +458,12 @@
 
   /** The cheapest offer that is up in time, or the soonest if none is; null if none helps. */
   private Offer choose(
-      JobSpec spec, int count, Map<Offer, Integer> wanted, long latest, long otherwise) {
+      JobSpec spec,
+      Map<String, Integer> inZone,
+      int count,
+      Map<Offer, Integer> wanted,
+      long latest,
+      long otherwise) {
     Offer best = null;
     double bestScore = 0;
     for (MachineType type : types.values()) {
@@ -354,6 +481,7 @@
           Offer offer = new Offer(type, zone, spot);
           Backoff off = backoffs.get(offer.name());
           if (!spec.allows(type.name(), zone, spot)
+              || !spec.zoneOpen(zone, inZone)
               || (off != null && nowMicros < off.untilMicros)
               || wanted.getOrDefault(offer, 0) >= MOST_AT_ONCE) {
             continue;
@@ -497,7 +625,8 @@
         if (w.idleSinceMicros == 0) {
           w.idleSinceMicros = nowMicros;
         }
-        if (nowMicros - w.idleSinceMicros > keepMicros(w, type)
+        if (nowMicros - w.idleSinceMicros > KEEP_MICROS
+            && unneeded.contains(w.host())
             && wallMicros - w.rentedWallMicros() > LEAST_CHARGED_MICROS) {
           why = "idle";
         }
@@ -510,29 +639,6 @@
     }
   }
 
-  /** How long an idle machine is kept: longer where starts are wanted sooner than one boots. */
-  private long keepMicros(Worker w, MachineType type) {
-    if (type == null) {
-      return 0;
-    }
-    for (Job job : placer.recent()) {
-      JobSpec spec = job.spec();
-      if (type.fits(spec) == 0
-          || !spec.allows(type.name(), w.zone(), w.spot())
-          || (spec.gpus() == 0 && type.gpus() > 0)) {
-        continue;
-      }
-      for (Settings.Objective o : settings.objectives()) {
-        if (o.kind().equals("wait")
-            && spec.jobClass().equals(o.jobClass())
-            && o.withinMicros() < type.readyMicros()) {
-          return KEEP_LONG_MICROS;
-        }
-      }
-    }
-    return w.spot() ? KEEP_SPOT_MICROS : KEEP_MICROS;
-  }
-
   private void release(Worker w, String why) {
     w.releasing = true;
     int shard = w.shard();
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -3,6 +3,7 @@
 import gladeknot.jobs.JobSpec;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /**
  * When waiting tasks will start on the machines there are: each machine's room over time, as
@@ -99,10 +100,13 @@
   }
 
   /** Where a task would finish first; null if nowhere. */
-  Slot best(JobSpec spec) {
+  Slot best(JobSpec spec, Map<String, Integer> inZone) {
     Slot best = null;
     long bestAt = NEVER;
     for (Slot slot : slots) {
+      if (!spec.zoneOpen(slot.zone, inZone)) {
+        continue;
+      }
       long at = slot.earliest(spec);
       if (at < NEVER && at + slot.fetchMicros(spec) < bestAt) {
         best = slot;
--- a/src/main/java/gladeknot/jobs/JobSpec.java
+++ b/src/main/java/gladeknot/jobs/JobSpec.java
@@ -76,6 +76,12 @@
     return scatter ? (tasks + 1) / 2 : tasks;
   }
 
+  /** Whether another of its tasks may go to a zone, given how many are in each. */
+  public boolean zoneOpen(String inZone, Map<String, Integer> counts) {
+    return (!scatter || counts.getOrDefault(inZone, 0) < perZone())
+        && (!together || counts.isEmpty() || counts.containsKey(inZone));
+  }
+
   public boolean allows(String type, String inZone, boolean isSpot) {
     return (types == null || types.contains(type))
         && (zone == null || zone.equals(inZone))
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -1,7 +1,5 @@
 package gladeknot.placement;
 
-import com.google.common.cache.Cache;
-import com.google.common.cache.CacheBuilder;
 import gladeknot.fleet.MachineType;
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobBook;
@@ -13,7 +11,6 @@
 import gladeknot.workers.WorkerBook;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -43,8 +40,6 @@
   /** From a decision to a running task, where nothing is known yet. */
   private static final long START_MICROS = 4_000_000;
 
-  private static final int RECENT_CLASSES = 200;
-
   /** Room kept in a record for what else it holds. */
   private static final int RECORD_OVERHEAD = 400;
 
@@ -56,7 +51,7 @@
   }
 
   /** Tasks of one slice that wait for room. */
-  public record Need(Job job, int shard, int count, boolean ours) {}
+  public record Need(Job job, int shard, int count, boolean ours, Map<String, Integer> inZone) {}
 
   /** All that waits for room, in the order in which it would get it. */
   public record Queue(List<Need> waiting) {}
@@ -75,8 +70,6 @@
   private final Types types;
   private final Preemption preemption;
   private final Supplier<List<String>> zonesOffered;
-  private final Cache<String, Job> recent =
-      CacheBuilder.newBuilder().maximumSize(RECENT_CLASSES).build();
   private final Map<String, Budgets.Amount> left = new HashMap<>();
   private long nextMicros;
   private long againMicros;
@@ -138,7 +131,13 @@
         open.put(
             spec.team(),
             new Budgets.Amount(a.cpus() - spec.cpus() * n, a.gpus() - spec.gpus() * n));
-        queue.add(new Need(w.job(), w.slice().shard(), (int) n, !w.foreign()));
+        queue.add(
+            new Need(
+                w.job(),
+                w.slice().shard(),
+                (int) n,
+                !w.foreign(),
+                slices.zoneCounts(w.slice().job())));
       }
     }
     return new Queue(queue);
@@ -172,14 +171,12 @@
     return Math.max(nowMicros + run / 10, from + run);
   }
 
-  /** The newest job of each class that has been seen. */
-  public Collection<Job> recent() {
-    return recent.asMap().values();
-  }
-
-  /** Notes a job that has come. */
-  public void seen(Job job) {
-    recent.put(job.spec().jobClass(), job);
+  /** Services that go on, in the order in which they came. */
+  public List<Job> services() {
+    return jobs.active().stream()
+        .filter(j -> j.spec().shape() == JobSpec.Shape.SERVICE)
+        .sorted(Comparator.comparingLong(Job::submittedMicros))
+        .toList();
   }
 
   public void tick(long now, long wall) {
@@ -459,8 +456,7 @@
     String in = room.worker.zone();
     return room.allows(spec)
         && (zone == null || zone.equals(in))
-        && (!spec.scatter() || perZone.getOrDefault(in, 0) < spec.perZone())
-        && (!spec.together() || zone != null || perZone.isEmpty() || perZone.containsKey(in))
+        && spec.zoneOpen(in, perZone)
         && (spec.gpus() > 0 || room.type.gpus() == 0 || spec.shape() != JobSpec.Shape.SERVICE);
   }
 
