--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -54,7 +54,7 @@
   private static final double SPREAD = 1.3;
 
   /** How full machines are to be with work that has a deadline. */
-  private static final double FILL = 0.75;
+  private static final double FILL = 1.1;
 
   /** How long after a task's end a job is seen to be done. */
   private static final long TOLD_MICROS = 3_000_000;
@@ -614,7 +614,7 @@
       } else if (w.report() == null) {
         long age = Math.max(0, wallMicros - w.rentedWallMicros());
         long here = nowMicros - membership.sinceMicros(shard);
-        if (age > 4 * ready + 30_000_000 && here > silent) {
+        if (age > 2 * ready + ready / 4 + 10_000_000 && here > 10_000_000) {
           why = "never came up";
         }
       } else if (nowMicros - w.reportMicros() > silent) {
--- a/src/main/java/gladeknot/placement/Preemption.java
+++ b/src/main/java/gladeknot/placement/Preemption.java
@@ -22,6 +22,9 @@
 
   private static final double MICROS = 1e6;
 
+  /** For a guarantee, work of the same priority is stopped only while little of it is done. */
+  private static final double MOST_LOST_S = 5;
+
   private final Settings settings;
   private final JobBook jobs;
   private final SliceBook slices;
@@ -101,7 +104,7 @@
         && (s.gpus() == 0 || u[1] - s.gpus() >= team.gpus());
   }
 
-  private boolean mayStop(JobSpec spec, Attempt a) {
+  private boolean mayStop(JobSpec spec, Attempt a, long nowMicros) {
     Job job = jobs.active(a.slice().job());
     if (job == null || a.closed || a.killed() || !a.committed) {
       return false;
@@ -113,6 +116,7 @@
         && job.spec().rank().ordinal() >= spec.rank().ordinal()
         && guaranteed(spec.id())
         && !guaranteed(job.id())
+        && lossS(a, nowMicros) <= MOST_LOST_S
         && beyondGuarantee(a.slice());
   }
 
@@ -132,7 +136,7 @@
   Plan plan(Room room, JobSpec spec, Set<Attempt> taken, long nowMicros) {
     List<Attempt> able = new ArrayList<>();
     for (Attempt a : room.worker.attempts().values()) {
-      if (!taken.contains(a) && mayStop(spec, a)) {
+      if (!taken.contains(a) && mayStop(spec, a, nowMicros)) {
         able.add(a);
       }
     }
