--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -61,6 +61,11 @@
               public void lost(int shard) {
                 shardLost(shard);
               }
+
+              @Override
+              public boolean silent(int shard) {
+                return scheduler.silent(shard);
+              }
             });
     jobs = new JobBook(this::jobChanged);
     slices = new SliceBook(membership.shards(), ledger, workers, membership.owned()::contains);
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,6 +26,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
   private static final String ALIVE = Ledger.ROOT + "alive/";
   private static final String SHARD = Ledger.ROOT + "shard/";
+  private static final String CARE = Ledger.ROOT + "care/";
   private static final String TERM = Ledger.ROOT + "term";
 
   /** Clocks drift apart by at most 0.05%; twice that covers two of them. */
@@ -33,12 +35,24 @@
   private static final long CALL_MICROS = 2_000_000;
   private static final long STEP_MICROS = 400_000;
 
+  /** How long one entry lets another controller keep a shard's workers alive. */
+  private static final long CARE_MICROS = 6_000_000;
+
+  /** How many such entries one controller makes for one term. */
+  private static final int MOST_CARES = 2;
+
+  /** How long a shard stays with the controller that its workers could reach. */
+  private static final long KEEP_MICROS = 45_000_000;
+
   /** Hears when a shard begins and ceases to be ours. */
   public interface Listener {
     /** Ours now, under a new term or after an unclear commit: read its slices anew. */
     void gained(int shard);
 
     void lost(int shard);
+
+    /** Whether most of a shard's workers have fallen silent. */
+    boolean silent(int shard);
   }
 
   private final Settings settings;
@@ -61,6 +75,12 @@
   private final Set<Integer> unclear = new HashSet<>();
   private final long[] lapsedSince;
   private final long[] sinceMicros;
+  private final long[] caredUntilMicros;
+  private final long[] careStamp;
+  private final long[] caringUntilMicros;
+  private final long[] caringTerm;
+  private final int[] caring;
+  private final long[] keepUntilMicros;
   private boolean moving;
   private long nextMoveMicros;
 
@@ -73,6 +93,12 @@
     this.ttlMicros = settings.stateLeaseMicros();
     this.lapsedSince = new long[nodes.size()];
     this.sinceMicros = new long[nodes.size()];
+    this.caredUntilMicros = new long[nodes.size()];
+    this.careStamp = new long[nodes.size()];
+    this.caringUntilMicros = new long[nodes.size()];
+    this.caringTerm = new long[nodes.size()];
+    this.caring = new int[nodes.size()];
+    this.keepUntilMicros = new long[nodes.size()];
   }
 
   public int shards() {
@@ -134,6 +160,79 @@
     return Math.max(1, ledger.under(ALIVE).size());
   }
 
+  public static String careKey(int shard) {
+    return CARE + shard;
+  }
+
+  /** The stamp of the newest entry by which another controller cares for a shard's workers. */
+  public long careStamp(int shard) {
+    return careStamp[shard];
+  }
+
+  /** Until when another controller may renew the leases of a shard's workers. */
+  public long caredUntilMicros(int shard) {
+    long stamp = ledger.stamp(careKey(shard));
+    if (stamp != careStamp[shard]) {
+      careStamp[shard] = stamp;
+      caredUntilMicros[shard] = nowMicros + CARE_MICROS + (long) (CARE_MICROS * DRIFT);
+    }
+    return caredUntilMicros[shard];
+  }
+
+  /** Whether this controller may renew the leases of a shard's workers in its owner's place. */
+  public boolean caresFor(int shard) {
+    return entitled()
+        && caringTerm[shard] == term(shard)
+        && nowMicros < caringUntilMicros[shard]
+        && !owned.contains(shard);
+  }
+
+  /**
+   * Enters that this controller answers the workers of a shard whose owner they can't reach. The
+   * owner takes no lease as lapsed before that has run out; it gives the shard away if most of its
+   * workers are silent.
+   */
+  public void care(int shard, Consumer<Boolean> then) {
+    long term = term(shard);
+    if (caringTerm[shard] != term) {
+      caringTerm[shard] = term;
+      caring[shard] = 0;
+      caringUntilMicros[shard] = 0;
+    }
+    if (!entitled() || caring[shard] >= MOST_CARES || !ledger.takeWrites(1, 0)) {
+      then.accept(false);
+      return;
+    }
+    caring[shard]++;
+    long sent = nowMicros;
+    ledger.commit(
+        Map.of(
+            shardKey(shard),
+            ledger.stamp(shardKey(shard)),
+            ALIVE + settings.node(),
+            ledger.stamp(ALIVE + settings.node())),
+        List.of(Write.put(careKey(shard), Json.of("by", settings.node(), "term", term))),
+        outcome -> {
+          boolean done = outcome.result() == Result.DONE && term == term(shard);
+          if (done) {
+            LOG.info("cares for the workers of shard {} under term {}", shard, term);
+            caringUntilMicros[shard] = sent + (long) (CARE_MICROS * (1 - DRIFT));
+          }
+          then.accept(done);
+        });
+  }
+
+  /** Who cares for a shard's workers and could take it, if most of them are silent here. */
+  private String rescuer(int shard) {
+    Ledger.Entry care = ledger.get(careKey(shard));
+    if (care == null || Json.num(care.data(), "term", 0) != term(shard)) {
+      return null;
+    }
+    String by = Json.text(care.data(), "by");
+    boolean able = !settings.node().equals(by) && ledger.get(ALIVE + by) != null;
+    return able && caredUntilMicros(shard) > nowMicros && listener.silent(shard) ? by : null;
+  }
+
   /** A commit for a shard got no answer: nothing more goes until a new stamp makes it void. */
   public void unclear(int shard) {
     if (owned.contains(shard)) {
@@ -258,16 +357,21 @@
           take(shard, entry, settings.node(), grant, Map.of());
           return;
         }
-        Ledger.Entry homeAlive = ledger.get(ALIVE + nodes.get(shard));
-        if (shard != home && homeAlive != null) {
-          // The home node is back. From here until the outcome is known no worker of the shard
-          // is answered, so that its new owner may count from the change of hands.
+        String heir = rescuer(shard);
+        if (heir == null && shard != home && nowMicros >= keepUntilMicros[shard]) {
+          heir = nodes.get(shard);
+        }
+        Ledger.Entry heirAlive = heir == null ? null : ledger.get(ALIVE + heir);
+        if (heirAlive != null) {
+          // The home node is back, or another reaches the workers. From here until the outcome
+          // is known no worker of the shard is answered, so that its new owner may count from
+          // the change of hands.
           if (take(
               shard,
               entry,
-              nodes.get(shard),
-              Json.num(homeAlive.data(), "inc", 0),
-              Map.of(ALIVE + nodes.get(shard), homeAlive.stamp()))) {
+              heir,
+              Json.num(heirAlive.data(), "inc", 0),
+              Map.of(ALIVE + heir, heirAlive.stamp()))) {
             yielding.add(shard);
           }
           return;
@@ -365,7 +469,12 @@
   }
 
   private void gain(int shard) {
-    owned.add(shard);
+    if (owned.add(shard)
+        && caring[shard] > 0
+        && nowMicros - caringUntilMicros[shard] < KEEP_MICROS) {
+      keepUntilMicros[shard] = nowMicros + KEEP_MICROS;
+    }
+    caring[shard] = 0;
     sinceMicros[shard] = nowMicros;
     listener.gained(shard);
   }
--- a/src/main/java/gladeknot/placement/Attempt.java
+++ b/src/main/java/gladeknot/placement/Attempt.java
@@ -23,6 +23,11 @@
   /** Off its machine for sure; kept until that is committed. */
   boolean closed;
 
+  /** Closed because its worker's lease has lapsed, as far as the care entry of that stamp tells. */
+  boolean lapsed;
+
+  long careStamp;
+
   /** Closed because it completed. */
   boolean finished;
 
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -461,14 +461,20 @@
   }
 
   /** Lower is better: what the fetch costs, then rare GPUs, then the fullest machine. */
-  private static double score(JobSpec spec, Room room, int inZone) {
+  private double score(JobSpec spec, Room room, int inZone) {
     double fetch =
         room.worker.hasImage(spec.image()) ? 0 : spec.imageGb() / room.type.fetchGbPerS();
     double gpus = spec.gpus() == 0 && room.type.gpus() > 0 ? 30 : 0;
     double kind = spec.spot() && !room.worker.spot() ? 2 : 0;
     double spread = spec.scatter() ? inZone : 0;
     double empty = (double) room.cpus / room.type.cpus();
-    return fetch + gpus + kind + spread + empty;
+    // A zone without a controller loses its workers' leases when it is cut off.
+    double lonely =
+        spec.shape() == JobSpec.Shape.SERVICE
+                && !settings.controllerZones().contains(room.worker.zone())
+            ? 2
+            : 0;
+    return fetch + gpus + kind + spread + empty + lonely;
   }
 
   private void start(Slice s, int task, long number, Room room) {
--- a/src/main/java/gladeknot/placement/Recorder.java
+++ b/src/main/java/gladeknot/placement/Recorder.java
@@ -205,6 +205,12 @@
     }
     batch.conditions().put(s.key(), s.stamp);
     shardCondition(s.shard(), batch);
+    for (Attempt a : closed) {
+      if (a.lapsed) {
+        // Another controller may have begun to renew leases in our place: then nothing lapsed.
+        batch.conditions().merge(Membership.careKey(s.shard()), a.careStamp, Math::min);
+      }
+    }
     if (job != null && s.starts()) {
       // A cancellation that is committed before this start makes the start fail.
       batch.conditions().put(Job.key(s.job()), job.stamp());
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -325,6 +325,7 @@
   }
 
   private void lapses(int shard) {
+    long caredUntil = membership.caredUntilMicros(shard);
     long lease = (long) (settings.workers().leaseMicros() * (1 + DRIFT)) + LAPSE_MARGIN_MICROS;
     for (Slice s : List.copyOf(slices.of(shard))) {
       for (Attempt a : List.copyOf(s.out.values())) {
@@ -338,13 +339,28 @@
           continue;
         }
         long since = Math.max(w.answeredMicros(), membership.sinceMicros(shard));
-        if (nowMicros - since > lease) {
+        if (nowMicros - Math.max(since, caredUntil) > lease) {
+          a.lapsed = true;
+          a.careStamp = membership.careStamp(shard);
           gone(a, "lease lapsed");
         }
       }
     }
   }
 
+  /** Whether most of a shard's workers that have reported here have ceased to. */
+  public boolean silent(int shard) {
+    int all = 0;
+    int silent = 0;
+    for (Worker w : workers.of(shard)) {
+      if (w.report() != null) {
+        all++;
+        silent += nowMicros - w.reportMicros() > 2 * settings.workers().reportMicros() ? 1 : 0;
+      }
+    }
+    return silent * 2 > all;
+  }
+
   /** Marks jobs done whose every task is done in committed records. */
   private void finals() {
     for (Job job : List.copyOf(jobs.active())) {
--- a/src/main/java/gladeknot/placement/SliceBook.java
+++ b/src/main/java/gladeknot/placement/SliceBook.java
@@ -136,6 +136,11 @@
       boolean same = old != null && old.number() == a.number() && old.host().equals(a.host());
       if (same) {
         old.committed = true;
+        if (old.lapsed) {
+          // The commit of its end failed: whether the lease has lapsed is looked at anew.
+          old.lapsed = false;
+          old.closed = false;
+        }
       }
       put(same ? old : a);
     }
--- a/src/main/java/gladeknot/settings/Settings.java
+++ b/src/main/java/gladeknot/settings/Settings.java
@@ -53,6 +53,14 @@
         .toList();
   }
 
+  /** The zones that have a controller. */
+  public java.util.Set<String> controllerZones() {
+    java.util.Set<String> in = new java.util.HashSet<>();
+    in.add(zone);
+    members.forEach(m -> in.add(m.zone()));
+    return in;
+  }
+
   /** The state lease's length: with a worker's lease and a margin it stays below a cancellation. */
   public long stateLeaseMicros() {
     long margin = Math.max(3_000_000, workers.cancelMicros / 8);
--- a/src/main/java/gladeknot/workers/WorkerDesk.java
+++ b/src/main/java/gladeknot/workers/WorkerDesk.java
@@ -6,6 +6,7 @@
 import gladeknot.membership.Membership;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -30,6 +31,9 @@
   /** Far below what a worker waits for an answer, and above what a commit mostly takes. */
   private static final long HOLD_MICROS = 150_000;
 
+  /** A worker that comes again so soon has not got through to its controller. */
+  private static final long BACK_MICROS = 12_000_000;
+
   private record Held(long request, Worker worker, Report report, long untilMicros) {}
 
   private final Ledger ledger;
@@ -37,6 +41,8 @@
   private final WorkerBook workers;
   private final Outbox outbox;
   private final Sync sync;
+  private final Map<String, Long> sentAway = new HashMap<>();
+  private long nextSweepMicros;
   private final List<Held> held = new ArrayList<>();
   private long nowMicros;
 
@@ -51,6 +57,10 @@
 
   public void tick(long now) {
     nowMicros = now;
+    if (now >= nextSweepMicros) {
+      nextSweepMicros = now + BACK_MICROS;
+      sentAway.values().removeIf(at -> now - at > BACK_MICROS);
+    }
     release();
   }
 
@@ -79,12 +89,7 @@
     }
     int shard = worker.shard();
     if (!membership.actsFor(shard)) {
-      String owner = membership.liveOwner(shard);
-      if (owner == null) {
-        outbox.comeBack(request, 503, "its controller is changing", 1);
-      } else {
-        outbox.answer(request, 421, Json.of("foreman", owner));
-      }
+      elsewhere(request, body, report, shard);
       return;
     }
     long term = membership.term(shard);
@@ -114,6 +119,55 @@
     answer(request, worker, orders);
   }
 
+  /** A worker whose shard another controller owns. */
+  private void elsewhere(long request, byte[] body, Report report, int shard) {
+    String owner = membership.liveOwner(shard);
+    long term = membership.term(shard);
+    if (owner == null) {
+      outbox.comeBack(request, 503, "its controller is changing", 1);
+      return;
+    }
+    Long before = sentAway.put(report.host(), nowMicros);
+    boolean back = before != null && nowMicros - before < BACK_MICROS;
+    if (!back || report.token() != term || report.tasks().isEmpty()) {
+      outbox.answer(request, 421, Json.of("foreman", owner));
+      return;
+    }
+    // It was sent to its controller and has come back: its lease is renewed here for a while, so
+    // that its tasks outlive a restart, or a cut that leads to a change of hands.
+    if (membership.caresFor(shard)) {
+      careFor(request, body, report, shard, term);
+    } else {
+      membership.care(
+          shard,
+          done -> {
+            if (done) {
+              careFor(request, body, report, shard, term);
+            } else {
+              outbox.answer(request, 421, Json.of("foreman", owner));
+            }
+          });
+    }
+  }
+
+  /**
+   * Renews a worker's lease in its owner's place, without any command. The barrier is read after
+   * the report came: if the shard has changed hands since the report was sent, it shows.
+   */
+  private void careFor(long request, byte[] body, Report report, int shard, long term) {
+    ledger.barrier(
+        () -> {
+          if (membership.actsFor(shard)) {
+            hello(request, body);
+          } else if (membership.term(shard) == term && membership.caresFor(shard)) {
+            outbox.answer(request, 200, Json.of("fence", term, "orders", List.of()));
+          } else {
+            outbox.comeBack(request, 503, "its controller is changing", 1);
+          }
+        },
+        () -> outbox.comeBack(request, 503, "the state service does not answer", 1));
+  }
+
   private void answer(long request, Worker worker, List<Map<String, Object>> orders) {
     worker.answered(nowMicros);
     long term = membership.term(worker.shard());
