--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -56,6 +56,8 @@
   /** How full machines are to be with work that has a deadline. */
   private static final double FILL = 1.1;
 
+  private static final double FILL_WITH_SLACK = 1.6;
+
   /** How long after a task's end a job is seen to be done. */
   private static final long TOLD_MICROS = 3_000_000;
 
@@ -350,7 +352,9 @@
     if (wait != null) {
       return load.tasks() + SPREAD * Math.sqrt(load.tasks() * load.tasksPerJob());
     }
-    return load.tasks() / FILL;
+    // What a machine rented on demand can still be in time for needs less room ahead.
+    long slack = spec.dueMicros() - placer.estimates().runMicros(spec) - TOLD_MICROS;
+    return load.tasks() / (slack > 2 * soonest(spec) ? FILL_WITH_SLACK : FILL);
   }
 
   private Settings.Objective objective(String kind, String jobClass) {
--- a/src/main/java/gladeknot/placement/Recorder.java
+++ b/src/main/java/gladeknot/placement/Recorder.java
@@ -38,7 +38,7 @@
   private record Caught(
       Slice slice,
       long version,
-      int done,
+      BitSet done,
       List<Attempt> live,
       List<Attempt> closed,
       Map<Slice, BitSet> claims) {}
@@ -136,6 +136,10 @@
         reload(s);
         continue;
       }
+      if (writtenAlready(s, batch)) {
+        // Two claims of the same tasks must not go as one transaction: each would find them free.
+        continue;
+      }
       int ops = 1 + s.claims.size();
       if (batch.writes().size() + ops > room || bytes > MAX_BYTES) {
         break;
@@ -164,6 +168,16 @@
     return batch;
   }
 
+  private static boolean writtenAlready(Slice s, Batch batch) {
+    for (Write w : batch.writes()) {
+      if (w.key().equals(s.key())
+          || s.claims.keySet().stream().anyMatch(from -> w.key().equals(from.key()))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether all tasks that a slice is to take over are still free where they are taken from. */
   private boolean claimsStand(Slice s) {
     for (Map.Entry<Slice, BitSet> claim : s.claims.entrySet()) {
@@ -235,7 +249,7 @@
     }
     batch
         .slices()
-        .add(new Caught(s, s.version, s.done.cardinality(), live, closed, Map.copyOf(s.claims)));
+        .add(new Caught(s, s.version, (BitSet) s.done.clone(), live, closed, Map.copyOf(s.claims)));
     return 200 + 24 * live.size() + 12 * s.claims.size();
   }
 
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -12,6 +12,7 @@
 import gladeknot.workers.Worker;
 import gladeknot.workers.WorkerBook;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -367,11 +368,7 @@
       if (!membership.commitsFor(job.home()) || finishing.contains(job.id())) {
         continue;
       }
-      int done = 0;
-      for (Slice s : slices.of(job.id())) {
-        done += s.savedDone();
-      }
-      if (done < job.tasks()) {
+      if (savedDone(job).cardinality() < job.tasks()) {
         continue;
       }
       finishing.add(job.id());
@@ -390,14 +387,19 @@
     }
   }
 
+  /** The tasks that are done by committed records: each counts once, whoever has it. */
+  private BitSet savedDone(Job job) {
+    BitSet done = new BitSet();
+    slices.of(job.id()).forEach(s -> done.or(s.savedDone()));
+    return done;
+  }
+
   /** Done tasks and tasks handed out, for display. */
   public int[] counts(Job job) {
-    int done = 0;
     int running = 0;
     for (Slice s : slices.of(job.id())) {
-      done += s.savedDone();
       running += s.live();
     }
-    return new int[] {done, running};
+    return new int[] {savedDone(job).cardinality(), running};
   }
 }
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -36,7 +36,9 @@
 
   long counter;
   long stamp;
-  int savedDone;
+
+  /** Tasks that are done by its record. */
+  BitSet savedDone = new BitSet();
 
   /** Grows with each change, so that a commit knows whether it caught the last one. */
   long version;
@@ -83,7 +85,7 @@
     return out.values();
   }
 
-  public int savedDone() {
+  public BitSet savedDone() {
     return savedDone;
   }
 
@@ -125,7 +127,7 @@
     assigned.clear();
     assigned.or(share(from.spec(), from.home(), shard, shards));
     done.clear();
-    savedDone = 0;
+    savedDone = new BitSet();
     stamp = 0;
   }
 
@@ -142,7 +144,7 @@
     assigned.or(Ranges.parse(Json.text(data, "a")));
     done.clear();
     done.or(Ranges.parse(Json.text(data, "d")));
-    savedDone = done.cardinality();
+    savedDone = (BitSet) done.clone();
     List<Attempt> attempts = new ArrayList<>();
     String text = Json.text(data, "o");
     if (text != null && !text.isEmpty()) {
--- a/src/main/java/gladeknot/teams/Budgets.java
+++ b/src/main/java/gladeknot/teams/Budgets.java
@@ -29,6 +29,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(Budgets.class);
   private static final String KEYS = Ledger.ROOT + "team/";
   private static final long STEP_MICROS = 150_000;
+
+  /** Between two changes of one team's budgets: what came of the first must be seen before. */
+  private static final long REST_MICROS = 700_000;
+
   private static final long TELL_MICROS = 1_000_000;
   private static final long HINT_MICROS = 3_000_000;
 
@@ -69,6 +73,7 @@
   private final Map<Integer, Map<String, Amount>> told = new HashMap<>();
   private final Map<String, Amount> reserved = new HashMap<>();
   private final Map<Integer, Long> hintedMicros = new HashMap<>();
+  private final Map<String, Long> restUntilMicros = new HashMap<>();
   private long tellAgainMicros;
   private long nextMicros;
   private long nowMicros;
@@ -144,7 +149,7 @@
       tell(shard);
     }
     for (Settings.Team team : settings.teams().values()) {
-      if (changing.contains(team.name())) {
+      if (changing.contains(team.name()) || now < restUntilMicros.getOrDefault(team.name(), 0L)) {
         continue;
       }
       if (ledger.get(KEYS + team.name()) == null) {
@@ -181,6 +186,7 @@
             Map.of(key, ledger.stamp(key)),
             done -> {
               changing.remove(team);
+              restUntilMicros.put(team, nowMicros + REST_MICROS);
               giving.remove(team + "/" + shard);
             }));
   }
