--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -16,6 +16,7 @@
 import gladeknot.placement.Scheduler;
 import gladeknot.placement.Slice;
 import gladeknot.placement.SliceBook;
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import gladeknot.teams.Budgets;
 import gladeknot.workers.Report;
@@ -45,11 +46,13 @@
   private final Budgets budgets;
   private final Fleet fleet;
 
-  public Core(Settings settings, RandomGenerator random) {
+  public Core(Settings settings, Policy policy, RandomGenerator random) {
+    policy.settings(settings);
     ledger = new Ledger(settings, outbox, random, this);
     membership =
         new Membership(
             settings,
+            policy,
             ledger,
             new Membership.Listener() {
               @Override
@@ -73,10 +76,11 @@
     scheduler =
         new Scheduler(settings, membership, jobs, slices, workers, recorder, outbox, this::cacheGb);
     budgets = new Budgets(settings, ledger, membership, slices, recorder, outbox);
-    fleet = new Fleet(settings, ledger, membership, workers, recorder, scheduler, outbox);
+    fleet = new Fleet(settings, policy, ledger, membership, workers, recorder, scheduler, outbox);
     placer =
         new Placer(
             settings,
+            policy,
             membership,
             jobs,
             slices,
--- a/src/main/java/gladeknot/app/Main.java
+++ b/src/main/java/gladeknot/app/Main.java
@@ -1,8 +1,11 @@
 package gladeknot.app;
 
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import gladeknot.settings.SettingsReader;
+import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Locale;
 import picocli.CommandLine;
 import picocli.CommandLine.Model.ArgSpec;
@@ -129,7 +132,9 @@
   }
 
   private static int checkPolicy(Path file) {
-    return 0;
+    List<String> faults = Policy.check(file);
+    faults.forEach(fault -> System.err.println(file + ":" + fault));
+    return faults.isEmpty() ? 0 : BAD_SETTINGS;
   }
 
   private static int serve(Path file, Path policyFile) {
@@ -137,7 +142,15 @@
     if (settings == null) {
       return BAD_SETTINGS;
     }
-    new Service(settings).start();
+    if (policyFile != null && checkPolicy(policyFile) != 0) {
+      return BAD_SETTINGS;
+    }
+    try {
+      new Service(settings, Policy.load(policyFile)).start();
+    } catch (IOException e) {
+      System.err.println(policyFile + ": can't be read: " + e.getMessage());
+      return BAD_SETTINGS;
+    }
     return 0;
   }
 }
--- a/src/main/java/gladeknot/app/Service.java
+++ b/src/main/java/gladeknot/app/Service.java
@@ -4,6 +4,7 @@
 import gladeknot.http.HttpServer;
 import gladeknot.http.Outbox;
 import gladeknot.peer.PeerLinks;
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -29,10 +30,10 @@
   private final PeerLinks peers;
   private boolean draining;
 
-  public Service(Settings settings) {
+  public Service(Settings settings, Policy policy) {
     this.settings = settings;
     long seed = settings.node().hashCode() * 31L + System.nanoTime();
-    this.core = new Core(settings, new SplittableRandom(seed));
+    this.core = new Core(settings, policy, new SplittableRandom(seed));
     this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     int most = Math.max(50, settings.maxConnections() - OWN_SOCKETS);
     this.server = new HttpServer(this::request, most);
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -13,6 +13,7 @@
 import gladeknot.placement.Recorder;
 import gladeknot.placement.Scheduler;
 import gladeknot.placement.Slice;
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import gladeknot.workers.Report;
 import gladeknot.workers.Worker;
@@ -40,33 +41,12 @@
   private static final int MOST_ERRORS = 4;
   private static final long SILENT_MICROS = 8_000_000;
   private static final long LEAST_CHARGED_MICROS = 55_000_000;
-  private static final long KEEP_MICROS = 15_000_000;
   private static final long PLAN_MICROS = 1_500_000;
   private static final long TURN_MICROS = 4_000_000;
 
-  /** Over which time arrivals are counted. */
-  private static final long WINDOW_MICROS = 150_000_000;
-
-  /** How far ahead room is kept for services that are to start sooner than a machine boots. */
-  private static final double SERVICE_AHEAD_S = 60;
-
-  /** How many standard deviations above the mean there is to be room for. */
-  private static final double SPREAD = 1.3;
-
-  /** How full machines are to be with work that has a deadline. */
-  private static final double FILL = 1.1;
-
-  private static final double FILL_WITH_SLACK = 1.6;
-
   /** How long after a task's end a job is seen to be done. */
   private static final long TOLD_MICROS = 3_000_000;
 
-  /** How long a replica waits for room before a machine is rented for it. */
-  private static final long SERVICE_MICROS = 2_000_000;
-
-  /** How long work without any aim waits. */
-  private static final long PATIENCE_MICROS = 25_000_000;
-
   /** What a second of lateness counts against a price an hour, when no offer is in time. */
   private static final double LATE = 0.05;
 
@@ -98,6 +78,7 @@
   }
 
   private final Settings settings;
+  private final Policy policy;
   private final Ledger ledger;
   private final Membership membership;
   private final WorkerBook workers;
@@ -126,6 +107,7 @@
 
   public Fleet(
       Settings settings,
+      Policy policy,
       Ledger ledger,
       Membership membership,
       WorkerBook workers,
@@ -133,6 +115,7 @@
       Scheduler scheduler,
       Outbox outbox) {
     this.settings = settings;
+    this.policy = policy;
     this.ledger = ledger;
     this.membership = membership;
     this.workers = workers;
@@ -230,6 +213,7 @@
   /** Rents for our tasks that would start too late on the machines that are there or coming. */
   private void rent() {
     Placer.Queue queue = placer.queue();
+    policy.load(workers.all().size(), queue.waiting().stream().mapToInt(Placer.Need::count).sum());
     if (queue.waiting().isEmpty()) {
       return;
     }
@@ -247,7 +231,7 @@
       // A gang needs all its room in one shard, and in one zone if its tasks stay together.
       int only = spec.shape() == JobSpec.Shape.GANG && need.count() > 1 ? need.shard() : -1;
       if (only >= 0 && spec.together() && inZone.isEmpty()) {
-        long by = nowMicros + PATIENCE_MICROS;
+        long by = nowMicros + policy.micros(Policy.Name.PATIENCE);
         inZone.put(forecast.roomiest(spec, only, by, zonesOffered()), 0);
       }
       for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
@@ -308,7 +292,10 @@
       }
     }
     List<Demand.Load> loads =
-        new ArrayList<>(demand.loads(wallMicros, WINDOW_MICROS, placer.estimates()).values());
+        new ArrayList<>(
+            demand
+                .loads(wallMicros, policy.micros(Policy.Name.WINDOW), placer.estimates())
+                .values());
     loads.sort(Comparator.comparing((Demand.Load l) -> l.like().rank()));
     for (Demand.Load load : loads) {
       JobSpec spec = load.like();
@@ -350,20 +337,24 @@
   /** How many tasks of a class there should be room for. */
   private double target(Demand.Load load) {
     JobSpec spec = load.like();
+    double spread = policy.number(Policy.Name.SPREAD);
     Settings.Objective wait = objective("wait", spec.jobClass());
     if (spec.shape() == JobSpec.Shape.SERVICE) {
       if (wait == null) {
         return 0;
       }
-      double coming = load.jobsPerS() * SERVICE_AHEAD_S;
-      return (coming + SPREAD * Math.sqrt(coming)) * load.tasksPerJob();
+      double coming = load.jobsPerS() * policy.number(Policy.Name.SERVICE_AHEAD);
+      return (coming + spread * Math.sqrt(coming)) * load.tasksPerJob();
     }
     if (wait != null) {
-      return load.tasks() + SPREAD * Math.sqrt(load.tasks() * load.tasksPerJob());
+      return load.tasks() + spread * Math.sqrt(load.tasks() * load.tasksPerJob());
     }
     // What a machine rented on demand can still be in time for needs less room ahead.
     long slack = spec.dueMicros() - placer.estimates().runMicros(spec) - TOLD_MICROS;
-    return load.tasks() / (slack > 2 * soonest(spec) ? FILL_WITH_SLACK : FILL);
+    return load.tasks()
+        / (slack > 2 * soonest(spec)
+            ? policy.number(Policy.Name.FILL_WITH_SLACK)
+            : policy.number(Policy.Name.FILL));
   }
 
   private Settings.Objective objective(String kind, String jobClass) {
@@ -377,7 +368,7 @@
 
   /** Notes a job that has come. */
   public void came(Job job) {
-    if (wallMicros - job.submittedMicros() < WINDOW_MICROS) {
+    if (wallMicros - job.submittedMicros() < policy.micros(Policy.Name.WINDOW)) {
       demand.came(job);
     }
   }
@@ -480,17 +471,17 @@
           }
         }
       }
-      return nowMicros + PATIENCE_MICROS;
+      return nowMicros + policy.micros(Policy.Name.PATIENCE);
     }
     if (spec.shape() == JobSpec.Shape.SERVICE) {
-      return nowMicros + SERVICE_MICROS;
+      return nowMicros + policy.micros(Policy.Name.REPLICA_WAIT);
     }
     for (Settings.Objective o : settings.objectives()) {
       if (o.kind().equals("wait") && spec.jobClass().equals(o.jobClass())) {
         return nowMicros + Math.max(0, o.withinMicros() - age);
       }
     }
-    return nowMicros + PATIENCE_MICROS;
+    return nowMicros + policy.micros(Policy.Name.PATIENCE);
   }
 
   /** How soon a machine rented now could run a task. */
@@ -674,7 +665,7 @@
         if (w.idleSinceMicros == 0) {
           w.idleSinceMicros = nowMicros;
         }
-        if (nowMicros - w.idleSinceMicros > KEEP_MICROS
+        if (nowMicros - w.idleSinceMicros > policy.micros(Policy.Name.IDLE_KEEP)
             && unneeded.contains(w.host())
             && wallMicros - w.rentedWallMicros() > LEAST_CHARGED_MICROS) {
           why = "idle";
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -4,6 +4,7 @@
 import gladeknot.ledger.Ledger;
 import gladeknot.ledger.Ledger.Result;
 import gladeknot.ledger.Ledger.Write;
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -33,6 +34,10 @@
   private static final double DRIFT = 0.001;
 
   private static final long CALL_MICROS = 2_000_000;
+
+  /** For a kill on its way, and for clocks that drift. */
+  private static final long LEAST_MARGIN_MICROS = 3_000_000;
+
   private static final long STEP_MICROS = 400_000;
 
   /** How long one entry lets another controller keep a shard's workers alive. */
@@ -84,13 +89,16 @@
   private boolean moving;
   private long nextMoveMicros;
 
-  public Membership(Settings settings, Ledger ledger, Listener listener) {
+  public Membership(Settings settings, Policy policy, Ledger ledger, Listener listener) {
     this.settings = settings;
     this.nodes = settings.nodes();
     this.home = nodes.indexOf(settings.node());
     this.ledger = ledger;
     this.listener = listener;
-    this.ttlMicros = settings.stateLeaseMicros();
+    // A longer one, by whatever rule, would let a cancelled task outlive its time.
+    long most =
+        settings.workers().cancelMicros() - settings.workers().leaseMicros() - LEAST_MARGIN_MICROS;
+    this.ttlMicros = Math.min(policy.micros(Policy.Name.STATE_LEASE), most);
     this.lapsedSince = new long[nodes.size()];
     this.sinceMicros = new long[nodes.size()];
     this.caredUntilMicros = new long[nodes.size()];
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -5,6 +5,7 @@
 import gladeknot.jobs.JobBook;
 import gladeknot.jobs.JobSpec;
 import gladeknot.membership.Membership;
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import gladeknot.teams.Budgets;
 import gladeknot.workers.Worker;
@@ -30,11 +31,6 @@
   /** Workers become usable with time as well: a pass comes now and then in any case. */
   private static final long AGAIN_MICROS = 400_000;
 
-  private static final long CLAIM_AFTER_MICROS = 400_000;
-
-  /** Others get this long to claim a task before something is stopped for it. */
-  private static final long PREEMPT_AFTER_MICROS = 900_000;
-
   private static final long FOREIGN_STEP_MICROS = 1_500_000;
 
   /** From a decision to a running task, where nothing is known yet. */
@@ -60,6 +56,7 @@
   private record Waiting(Slice slice, Job job, boolean foreign, boolean guaranteed, long key) {}
 
   private final Settings settings;
+  private final Policy policy;
   private final Membership membership;
   private final JobBook jobs;
   private final SliceBook slices;
@@ -78,6 +75,7 @@
 
   public Placer(
       Settings settings,
+      Policy policy,
       Membership membership,
       JobBook jobs,
       SliceBook slices,
@@ -88,6 +86,7 @@
       Types types,
       Supplier<List<String>> zonesOffered) {
     this.settings = settings;
+    this.policy = policy;
     this.membership = membership;
     this.jobs = jobs;
     this.slices = slices;
@@ -97,7 +96,7 @@
     this.scheduler = scheduler;
     this.types = types;
     this.zonesOffered = zonesOffered;
-    this.preemption = new Preemption(settings, jobs, slices);
+    this.preemption = new Preemption(settings, policy, jobs, slices);
   }
 
   /** What waits in all shards. */
@@ -302,7 +301,7 @@
       if (s.waitingSinceMicros == 0) {
         s.waitingSinceMicros = nowMicros;
       }
-      if (!foreign || nowMicros - s.waitingSinceMicros >= CLAIM_AFTER_MICROS) {
+      if (!foreign || nowMicros - s.waitingSinceMicros >= policy.micros(Policy.Name.CLAIM_AFTER)) {
         into.add(new Waiting(s, job, foreign, preemption.guaranteed(job.id()), key(job)));
       }
     }
@@ -550,7 +549,7 @@
     // Others with free room come first; those who would have to stop something for a task that
     // is not theirs wait for its own shard, and for those before them.
     int place = Math.floorMod(shard - w.slice().shard(), membership.shards());
-    boolean mayStop = waited >= PREEMPT_AFTER_MICROS + place * FOREIGN_STEP_MICROS;
+    boolean mayStop = waited >= policy.micros(Policy.Name.STOP_AFTER) + place * FOREIGN_STEP_MICROS;
     int rest = count;
     Map<String, Integer> perZone = slices.zoneCounts(w.slice().job());
     Map<Room, Integer> held = new LinkedHashMap<>();
--- a/src/main/java/gladeknot/placement/Preemption.java
+++ b/src/main/java/gladeknot/placement/Preemption.java
@@ -3,6 +3,7 @@
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobBook;
 import gladeknot.jobs.JobSpec;
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -22,10 +23,8 @@
 
   private static final double MICROS = 1e6;
 
-  /** For a guarantee, work of the same priority is stopped only while little of it is done. */
-  private static final double MOST_LOST_S = 5;
-
   private final Settings settings;
+  private final Policy policy;
   private final JobBook jobs;
   private final SliceBook slices;
 
@@ -34,8 +33,9 @@
 
   private final Set<String> guaranteed = new HashSet<>();
 
-  Preemption(Settings settings, JobBook jobs, SliceBook slices) {
+  Preemption(Settings settings, Policy policy, JobBook jobs, SliceBook slices) {
     this.settings = settings;
+    this.policy = policy;
     this.jobs = jobs;
     this.slices = slices;
   }
@@ -116,7 +116,7 @@
         && job.spec().rank().ordinal() >= spec.rank().ordinal()
         && guaranteed(spec.id())
         && !guaranteed(job.id())
-        && lossS(a, nowMicros) <= MOST_LOST_S
+        && lossS(a, nowMicros) <= policy.number(Policy.Name.YOUNG)
         && beyondGuarantee(a.slice());
   }
 
--- a/src/main/java/gladeknot/settings/Settings.java
+++ b/src/main/java/gladeknot/settings/Settings.java
@@ -60,11 +60,4 @@
     members.forEach(m -> in.add(m.zone()));
     return in;
   }
-
-  /** The state lease's length: with a worker's lease and a margin it stays below a cancellation. */
-  public long stateLeaseMicros() {
-    long margin = Math.max(3_000_000, workers.cancelMicros / 8);
-    long room = workers.cancelMicros - workers.leaseMicros - margin;
-    return Math.max(1_000_000, Math.min(room, 60_000_000));
-  }
 }
--- a/src/test/java/gladeknot/settings/SettingsReaderTest.java
+++ b/src/test/java/gladeknot/settings/SettingsReaderTest.java
@@ -73,8 +73,6 @@
     assertEquals(14_000_000, s.workers().leaseMicros());
     assertEquals(24_000, s.teams().get("dev").cpusMax());
     assertEquals(List.of("n0", "n1"), s.nodes());
-    long lease = s.stateLeaseMicros() + s.workers().leaseMicros();
-    assertTrue(lease + 3_000_000 < s.workers().cancelMicros());
   }
 
   @ParameterizedTest
--- a/src/test/java/gladeknot/standin/World.java
+++ b/src/test/java/gladeknot/standin/World.java
@@ -4,6 +4,7 @@
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
 import gladeknot.peer.Hint;
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -112,7 +113,7 @@
 
   public void start(int i) {
     Node n = nodes.get(i);
-    n.core = new Core(settings(i, nodes.size() < 3 ? 3 : nodes.size()), random.split());
+    n.core = new Core(settings(i, Math.max(3, nodes.size())), Policy.of(""), random.split());
     n.up = true;
     n.paused = false;
     n.life++;
