--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -40,6 +40,11 @@
   private static final int MOST_FORECAST = 250;
   private static final int MOST_ERRORS = 4;
   private static final long SILENT_MICROS = 8_000_000;
+
+  /** Tasks are often longer than they are thought to be. */
+  private static final double CAREFUL = 1.15;
+
+  private static final int ZONE_PATIENCE = 4;
   private static final long LEAST_CHARGED_MICROS = 55_000_000;
   private static final long PLAN_MICROS = 1_500_000;
   private static final long TURN_MICROS = 4_000_000;
@@ -226,6 +231,7 @@
       // What may be stopped for a task is no hindrance to it: lower ranks are put in after.
       forecast.admit(spec.rank());
       long run = placer.estimates().runMicros(spec);
+      long careful = run < Forecast.NEVER ? (long) (run * CAREFUL) : run;
       int mine = need.ours() ? need.count() : 0;
       Map<String, Integer> inZone = new HashMap<>(need.inZone());
       // A gang needs all its room in one shard, and in one zone if its tasks stay together.
@@ -239,7 +245,7 @@
         Forecast.Slot slot = forecast.best(spec, inZone, only);
         long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
         if (i < mine) {
-          long latest = latestStart(need.job(), run, at);
+          long latest = latestStart(need.job(), careful, at);
           LOG.debug("forecast {}: starts at {}, wanted by {}", spec.id(), at, latest);
           if (at > latest) {
             Offer offer = choose(spec, inZone, need.count() - i, wanted, latest, at);
@@ -605,6 +611,9 @@
       off.times = none ? Math.min(off.times + 1, 4) : 1;
       off.untilMicros = nowMicros + (none ? 5_000_000L << Math.min(off.times, 2) : 3_000_000);
       LOG.info("rent {}: {} with {} of {}", r.name, reply.status(), hosts.size(), r.number);
+      // The next best offer is tried at once.
+      nextStepMicros = 0;
+      nextPlanMicros = Math.min(nextPlanMicros, nowMicros + STEP_MICROS / 2);
     } else {
       backoffs.remove(r.offer.name());
     }
@@ -657,7 +666,7 @@
         if (age > 2 * ready + ready / 4 + 10_000_000 && here > 10_000_000) {
           why = "never came up";
         }
-      } else if (nowMicros - w.reportMicros() > silent) {
+      } else if (nowMicros - w.reportMicros() > (zoneSilent(w) ? ZONE_PATIENCE * silent : silent)) {
         why = "silent";
       } else if (w.errors >= 4 && !busy) {
         why = "fails tasks";
@@ -679,6 +688,22 @@
     }
   }
 
+  /**
+   * Whether most machines of a machine's zone are silent: then the zone is cut off rather than each
+   * of them broken, and they will be of use when the cut ends.
+   */
+  private boolean zoneSilent(Worker w) {
+    int all = 0;
+    int silent = 0;
+    for (Worker other : workers.all()) {
+      if (other.report() != null && other.zone().equals(w.zone())) {
+        all++;
+        silent += nowMicros - other.reportMicros() > SILENT_MICROS ? 1 : 0;
+      }
+    }
+    return silent >= 2 && silent * 2 > all;
+  }
+
   private void release(Worker w, String why) {
     w.releasing = true;
     int shard = w.shard();
--- a/src/main/java/gladeknot/placement/Estimates.java
+++ b/src/main/java/gladeknot/placement/Estimates.java
@@ -2,6 +2,7 @@
 
 import gladeknot.jobs.JobSpec;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 
@@ -9,10 +10,22 @@
 public final class Estimates {
   private static final int PERCENT = 100;
   private static final int MOST = 100_000;
+  private static final int MOST_JOBS = 500;
 
   /** So many finished tasks weigh as much as the guess as it stands. */
   private static final int TRUST = 10;
 
+  /** Run times of finished tasks by job: their sum and number. */
+  private final Map<String, long[]> jobs =
+      new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, long[]> eldest) {
+          return size() > MOST_JOBS;
+        }
+      };
+
   private final Map<String, Histogram> ratios = new HashMap<>();
 
   /** Notes how long a task ran. */
@@ -21,6 +34,9 @@
       return;
     }
     long percent = Math.max(1, Math.min(MOST, ranMicros * PERCENT / spec.guessMicros()));
+    long[] sum = jobs.computeIfAbsent(spec.id(), id -> new long[2]);
+    sum[0] += ranMicros;
+    sum[1]++;
     ratios.computeIfAbsent(spec.jobClass(), c -> new Histogram(MOST, 2)).recordValue(percent);
   }
 
@@ -29,6 +45,11 @@
     if (spec.shape() == JobSpec.Shape.SERVICE) {
       return Long.MAX_VALUE / 4;
     }
+    long[] own = jobs.get(spec.id());
+    if (own != null) {
+      // Tasks of one job are much alike: those that have ended tell of the rest.
+      return own[0] / own[1];
+    }
     Histogram h = ratios.get(spec.jobClass());
     if (h == null || h.getTotalCount() == 0) {
       return spec.guessMicros();
