--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -242,7 +242,8 @@
       }
       for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
         looked++;
-        Forecast.Slot slot = forecast.best(spec, inZone, only);
+        Forecast.Slot slot =
+            need.starved() ? forecast.fresh(spec, inZone) : forecast.best(spec, inZone, only);
         long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
         if (i < mine) {
           long latest = latestStart(need.job(), careful, at);
@@ -473,7 +474,8 @@
         if (o.kind().equals("deadline") && spec.jobClass().equals(o.jobClass())) {
           long left = (long) (spec.dueMicros() * o.times()) - age - run - TOLD_MICROS;
           if (left >= soonest || nowMicros + left >= at) {
-            return nowMicros + left;
+            double haste = left > 0 ? policy.number(Policy.Name.HASTE) : 1;
+            return nowMicros + Math.max((long) (left * haste), Math.min(left, soonest));
           }
         }
       }
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -18,6 +18,7 @@
     final String zone;
     final boolean spot;
     final int shard;
+    private final long fromMicros;
     final List<String> images;
     private final List<long[]> events = new ArrayList<>();
 
@@ -33,6 +34,7 @@
       this.zone = zone;
       this.spot = spot;
       this.shard = shard;
+      this.fromMicros = fromMicros;
       this.images = images;
       add(fromMicros, type.cpus(), type.gpus(), type.memory());
     }
@@ -125,6 +127,16 @@
     slots.add(slot);
   }
 
+  /** A machine that has room already, or will when it is up; null if none has. */
+  Slot fresh(JobSpec spec, Map<String, Integer> inZone) {
+    for (Slot slot : slots) {
+      if (spec.zoneOpen(slot.zone, inZone) && slot.earliest(spec) <= slot.fromMicros) {
+        return slot;
+      }
+    }
+    return null;
+  }
+
   /** Where a task would finish first; null if nowhere. */
   Slot best(JobSpec spec, Map<String, Integer> inZone) {
     return best(spec, inZone, -1);
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -31,6 +31,9 @@
   /** Workers become usable with time as well: a pass comes now and then in any case. */
   private static final long AGAIN_MICROS = 400_000;
 
+  /** Keys of work that is late for all its deadlines begin here. */
+  private static final long LATE_KEY = Long.MAX_VALUE / 4;
+
   private static final long FOREIGN_STEP_MICROS = 1_500_000;
 
   /** From a decision to a running task, where nothing is known yet. */
@@ -46,8 +49,12 @@
     MachineType get(String name);
   }
 
-  /** Tasks of one slice that wait for room. */
-  public record Need(Job job, int shard, int count, boolean ours, Map<String, Integer> inZone) {}
+  /**
+   * Tasks of one slice that wait for room; starved are those that are late for all their deadlines
+   * and that newer work keeps going before.
+   */
+  public record Need(
+      Job job, int shard, int count, boolean ours, boolean starved, Map<String, Integer> inZone) {}
 
   /** All that waits for room, in the order in which it would get it. */
   public record Queue(List<Need> waiting) {}
@@ -136,6 +143,10 @@
                 w.slice().shard(),
                 (int) n,
                 !w.foreign(),
+                w.key() >= LATE_KEY
+                    && w.slice().waitingSinceMicros != 0
+                    && nowMicros - w.slice().waitingSinceMicros
+                        > policy.micros(Policy.Name.PATIENCE),
                 slices.zoneCounts(w.slice().job())));
       }
     }
@@ -262,7 +273,7 @@
   private long key(Job job) {
     JobSpec spec = job.spec();
     if (spec.dueMicros() == 0) {
-      return Long.MAX_VALUE / 2;
+      return LATE_KEY - 1;
     }
     long run = estimates().runMicros(spec);
     long age = Math.max(0, wallMicros - job.submittedMicros());
@@ -274,7 +285,7 @@
         }
       }
     }
-    return Long.MAX_VALUE / 4 + job.submittedMicros();
+    return LATE_KEY + job.submittedMicros();
   }
 
   /** A running task's rank; what belongs to a job that is over is as good as gone. */
--- a/src/main/java/gladeknot/policy/Policy.java
+++ b/src/main/java/gladeknot/policy/Policy.java
@@ -37,6 +37,7 @@
     PATIENCE(Type.DURATION, 0, 86400),
     CLAIM_AFTER(Type.DURATION, 0, 60),
     STOP_AFTER(Type.DURATION, 0, 600),
+    HASTE(Type.NUMBER, 0, 1),
     YOUNG(Type.DURATION, 0, 86400);
 
     private final Type type;
