--- a/src/main/java/gladeknot/app/Service.java
+++ b/src/main/java/gladeknot/app/Service.java
@@ -2,33 +2,101 @@
 
 import gladeknot.http.HttpCaller;
 import gladeknot.http.HttpServer;
-import gladeknot.http.Json;
 import gladeknot.http.Outbox;
 import gladeknot.settings.Settings;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
+/** Runs the core on one event loop: carries its calls and answers out, lets its time pass. */
 public final class Service {
+  private static final Logger LOG = LoggerFactory.getLogger(Service.class);
+  private static final long TICK_MS = 20;
+
+  /** Sockets kept for calls to other services. */
+  private static final int OWN_SOCKETS = 100;
+
   private final Settings settings;
+  private final Core core;
+  private final EventLoopGroup group;
+  private final HttpServer server;
+  private final HttpCaller caller;
+  private boolean draining;
 
   public Service(Settings settings) {
     this.settings = settings;
+    long seed = settings.node().hashCode() * 31L + System.nanoTime();
+    this.core = new Core(settings, new SplittableRandom(seed));
+    this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    int most = Math.max(50, settings.maxConnections() - OWN_SOCKETS);
+    this.server = new HttpServer(this::request, most);
+    this.caller = new HttpCaller(group, this::reply);
   }
 
+  /** Starts; the event loop's thread keeps the process running. */
   public void start() {
-    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    HttpServer[] server = new HttpServer[1];
-    server[0] =
-        new HttpServer(
-            (id, method, path, body) ->
-                server[0].answer(new Outbox.Answer(id, 200, Json.bytes(Json.of("ok", true)), 0)),
-            100);
-    String[] a = settings.clientListen().split(":");
-    server[0].listen(group, a[0], Integer.parseInt(a[1]));
-    System.err.println("started");
-    HttpCaller caller =
-        new HttpCaller(group, (id, reply) -> System.err.println("state " + reply.status()));
-    caller.call(new Outbox.Call(1, settings.state(), "GET", "/kv/g/x", new byte[0], 1_000_000));
+    String listen = settings.clientListen();
+    int colon = listen.lastIndexOf(':');
+    server.listen(group, listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1)));
+    LOG.info("{} listens on {}", settings.node(), listen);
+    group.next().execute(this::tick);
+  }
+
+  private void tick() {
+    try {
+      core.tick(now(), System.currentTimeMillis() * 1000);
+      drain();
+    } catch (RuntimeException e) {
+      LOG.error("tick failed", e);
+    }
+    group.next().schedule(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1000;
+  }
+
+  private void request(long id, String method, String path, byte[] body) {
+    try {
+      core.tick(now(), System.currentTimeMillis() * 1000);
+      core.request(id, method, path, body);
+    } catch (RuntimeException e) {
+      LOG.error("{} {} failed", method, path, e);
+      core.outbox().comeBack(id, 503, "internal error", 1);
+    }
+    drain();
+  }
+
+  private void reply(long id, Outbox.Reply reply) {
+    try {
+      core.tick(now(), System.currentTimeMillis() * 1000);
+      core.outbox().reply(id, reply);
+    } catch (RuntimeException e) {
+      LOG.error("reply failed", e);
+    }
+    drain();
+  }
+
+  private void drain() {
+    if (draining) {
+      return;
+    }
+    draining = true;
+    try {
+      boolean more = true;
+      while (more) {
+        var answers = core.outbox().takeAnswers();
+        var calls = core.outbox().takeCalls();
+        answers.forEach(server::answer);
+        calls.forEach(caller::call);
+        more = !answers.isEmpty() || !calls.isEmpty();
+      }
+    } finally {
+      draining = false;
+    }
   }
 }
--- /dev/null
+++ b/src/main/java/gladeknot/jobs/JobBook.java
@@ -0,0 +1,42 @@
+package gladeknot.jobs;
+
+import gladeknot.ledger.Ledger;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The jobs that go on, as the followed copy has them; those over stay in the copy alone. */
+public final class JobBook {
+  /** Hears of jobs that begin or end; {@code now} is null if a key has gone. */
+  public interface Listener {
+    void jobChanged(Job before, Job now);
+  }
+
+  private final Map<String, Job> active = new LinkedHashMap<>();
+  private final Listener listener;
+
+  public JobBook(Listener listener) {
+    this.listener = listener;
+  }
+
+  public Job active(String id) {
+    return active.get(id);
+  }
+
+  public Collection<Job> active() {
+    return active.values();
+  }
+
+  /** Takes in a change of a job's key. */
+  public void changed(String key, Ledger.Entry entry) {
+    String id = key.substring(Job.KEYS.length());
+    Job before = active.get(id);
+    Job now = entry == null ? null : Job.read(id, entry);
+    if (now != null && now.active()) {
+      active.put(id, now);
+    } else {
+      active.remove(id);
+    }
+    listener.jobChanged(before, now);
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/jobs/JobSpec.java
@@ -0,0 +1,199 @@
+package gladeknot.jobs;
+
+import gladeknot.http.Json;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * A submitted job. Amounts are in thousandths, times in microseconds.
+ *
+ * <p>{@code zone}, {@code types} and {@code dueMicros} are null, null and 0 where the user set
+ * none.
+ */
+public record JobSpec(
+    String id,
+    String jobClass,
+    String team,
+    Shape shape,
+    Rank rank,
+    int tasks,
+    long cpus,
+    long gpus,
+    long memory,
+    String image,
+    double imageGb,
+    List<String> types,
+    String zone,
+    boolean together,
+    boolean scatter,
+    boolean spot,
+    long guessMicros,
+    long snapshotMicros,
+    long flushMicros,
+    long dueMicros) {
+
+  /** How a job's tasks belong together. */
+  public enum Shape {
+    ARRAY,
+    GANG,
+    SERVICE
+  }
+
+  /** Priorities, the highest first. */
+  public enum Rank {
+    PROD,
+    HIGH,
+    NORMAL,
+    IDLE
+  }
+
+  /** A submission that breaks the form; the message names the field. */
+  public static final class Malformed extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Malformed(String message) {
+      super(message);
+    }
+  }
+
+  public static final int MAX_TASKS = 100_000;
+  private static final Pattern ID = Pattern.compile("req-[A-Za-z0-9_.-]{1,60}");
+  private static final double MAX_AMOUNT = 1e9;
+  private static final int MAX_TEXT = 200;
+
+  public static boolean isId(String id) {
+    return ID.matcher(id).matches();
+  }
+
+  /** Whether its tasks stay whole in one slice. */
+  public boolean whole() {
+    return shape != Shape.ARRAY;
+  }
+
+  /** How many of its tasks may be in one zone. */
+  public int perZone() {
+    return scatter ? (tasks + 1) / 2 : tasks;
+  }
+
+  public boolean allows(String type, String inZone, boolean isSpot) {
+    return (types == null || types.contains(type))
+        && (zone == null || zone.equals(inZone))
+        && (spot || !isSpot);
+  }
+
+  /** Reads a submission. */
+  public static JobSpec parse(Map<String, Object> m) throws Malformed {
+    String id = text(m, "id");
+    if (!isId(id)) {
+      throw new Malformed("id: not of the form req-...");
+    }
+    String shapeName = text(m, "shape");
+    Shape shape =
+        switch (shapeName) {
+          case "array" -> Shape.ARRAY;
+          case "ensemble" -> Shape.GANG;
+          case "service" -> Shape.SERVICE;
+          default -> throw new Malformed("shape: unknown " + shapeName);
+        };
+    String rankName = text(m, "rank");
+    Rank rank =
+        switch (rankName) {
+          case "prod" -> Rank.PROD;
+          case "high" -> Rank.HIGH;
+          case "normal" -> Rank.NORMAL;
+          case "idle" -> Rank.IDLE;
+          default -> throw new Malformed("rank: unknown " + rankName);
+        };
+    Object strands = m.get("strands");
+    if (!(strands instanceof Integer count) || count < 1 || count > MAX_TASKS) {
+      throw new Malformed("strands: must be a whole number from 1 to " + MAX_TASKS);
+    }
+    return new JobSpec(
+        id,
+        text(m, "jobclass"),
+        text(m, "owner"),
+        shape,
+        rank,
+        count,
+        Math.max(1, Math.round(amount(m, "cores", true) * 1000)),
+        Math.round(amount(m, "accelerators", false) * 1000),
+        Math.max(1, Math.round(amount(m, "memoryGb", true) * 1000)),
+        text(m, "bundle"),
+        amount(m, "sizeGb", false),
+        types(m),
+        optionalText(m, "glade"),
+        flag(m, "together"),
+        flag(m, "scatter"),
+        flag(m, "loaners"),
+        Math.round(amount(m, "guessS", false) * 1e6),
+        Math.round(amount(m, "snapshotS", false) * 1e6),
+        Math.round(amount(m, "flushS", false) * 1e6),
+        m.get("dueS") == null ? 0 : Math.max(1, Math.round(amount(m, "dueS", false) * 1e6)));
+  }
+
+  /** The submission as it was written, with the known fields alone. */
+  public Map<String, Object> toMap() {
+    return Json.of(
+        "id", id,
+        "jobclass", jobClass,
+        "owner", team,
+        "shape", shape == Shape.GANG ? "ensemble" : shape.name().toLowerCase(java.util.Locale.ROOT),
+        "rank", rank.name().toLowerCase(java.util.Locale.ROOT),
+        "strands", tasks,
+        "cores", cpus / 1000.0,
+        "accelerators", gpus / 1000.0,
+        "memoryGb", memory / 1000.0,
+        "bundle", image,
+        "sizeGb", imageGb,
+        "hosttypes", types,
+        "glade", zone,
+        "together", together,
+        "scatter", scatter,
+        "loaners", spot,
+        "guessS", guessMicros / 1e6,
+        "snapshotS", snapshotMicros / 1e6,
+        "flushS", flushMicros / 1e6,
+        "dueS", dueMicros == 0 ? null : dueMicros / 1e6);
+  }
+
+  private static String text(Map<String, Object> m, String name) throws Malformed {
+    String value = Json.text(m, name);
+    if (value == null || value.isEmpty() || value.length() > MAX_TEXT) {
+      throw new Malformed(name + ": must be a text of 1 to " + MAX_TEXT + " characters");
+    }
+    return value;
+  }
+
+  private static String optionalText(Map<String, Object> m, String name) throws Malformed {
+    return m.get(name) == null ? null : text(m, name);
+  }
+
+  private static double amount(Map<String, Object> m, String name, boolean aboveZero)
+      throws Malformed {
+    double value = Json.real(m, name, Double.NaN);
+    if (!(value >= 0) || value > MAX_AMOUNT || (aboveZero && value <= 0)) {
+      throw new Malformed(name + ": must be a number " + (aboveZero ? "above 0" : "of 0 or more"));
+    }
+    return value;
+  }
+
+  private static boolean flag(Map<String, Object> m, String name) throws Malformed {
+    if (!(m.get(name) instanceof Boolean b)) {
+      throw new Malformed(name + ": must be true or false");
+    }
+    return b;
+  }
+
+  private static List<String> types(Map<String, Object> m) throws Malformed {
+    Object value = m.get("hosttypes");
+    if (value == null) {
+      return null;
+    }
+    List<String> types = Json.texts(m, "hosttypes");
+    if (!(value instanceof List<?> list) || list.isEmpty() || list.size() != types.size()) {
+      throw new Malformed("hosttypes: must be null or a list of names");
+    }
+    return types;
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/jobs/JobsDesk.java
@@ -0,0 +1,285 @@
+package gladeknot.jobs;
+
+import gladeknot.http.Json;
+import gladeknot.http.Outbox;
+import gladeknot.ledger.Ledger;
+import gladeknot.ledger.Ledger.Outcome;
+import gladeknot.ledger.Ledger.Write;
+import gladeknot.settings.Settings;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Answers the users: submissions, polls and aborts. */
+public final class JobsDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(JobsDesk.class);
+  private static final int MAX_QUEUE = 300;
+  private static final long MAX_WAIT_MICROS = 2_500_000;
+
+  /** What the desk must know of the others. */
+  public interface Surroundings {
+    /** Whether the machine types are known. */
+    boolean typesKnown();
+
+    /** Whether a task fits some allowed machine type. */
+    boolean fitsSomeType(JobSpec spec);
+
+    /** The shard that takes in a new job. */
+    int homeShard(JobSpec spec);
+
+    /** Done and running tasks of a job that goes on. */
+    int[] counts(Job job);
+  }
+
+  private record Pending(long request, String id, JobSpec spec, boolean abort, long sinceMicros) {}
+
+  private final Settings settings;
+  private final Ledger ledger;
+  private final JobBook jobs;
+  private final Outbox outbox;
+  private final Surroundings around;
+  private final ArrayDeque<Pending> queue = new ArrayDeque<>();
+  private boolean inFlight;
+  private long nextMicros;
+  private long nowMicros;
+  private long wallMicros;
+
+  public JobsDesk(
+      Settings settings, Ledger ledger, JobBook jobs, Outbox outbox, Surroundings around) {
+    this.settings = settings;
+    this.ledger = ledger;
+    this.jobs = jobs;
+    this.outbox = outbox;
+    this.around = around;
+  }
+
+  /** POST /work. */
+  public void submit(long request, byte[] body) {
+    JobSpec spec;
+    try {
+      spec = JobSpec.parse(Json.object(body));
+    } catch (IOException e) {
+      outbox.answer(request, 400, Json.of("error", "body: not a JSON object"));
+      return;
+    } catch (JobSpec.Malformed e) {
+      outbox.answer(request, 400, Json.of("error", e.getMessage()));
+      return;
+    }
+    if (!ledger.loaded()) {
+      outbox.comeBack(request, 503, "the state is not read yet", 1);
+      return;
+    }
+    if (known(spec.id())) {
+      poll(request, spec.id());
+      return;
+    }
+    String never = refusal(spec);
+    if (never != null) {
+      outbox.answer(request, 422, Json.of("error", never));
+      return;
+    }
+    if (!around.typesKnown()) {
+      outbox.comeBack(request, 503, "machine types are not known yet", 1);
+      return;
+    }
+    if (!around.fitsSomeType(spec)) {
+      outbox.answer(request, 422, Json.of("error", "hosttypes: a task fits no allowed type"));
+      return;
+    }
+    if (Json.bytes(Job.accepted(spec, 0, 0)).length + 64 > settings.stateLimits().valueBytes()) {
+      outbox.answer(request, 400, Json.of("error", "hosttypes: too long"));
+      return;
+    }
+    enqueue(new Pending(request, spec.id(), spec, false, nowMicros));
+  }
+
+  private String refusal(JobSpec spec) {
+    Settings.Team team = settings.teams().get(spec.team());
+    if (team == null) {
+      return "owner: unknown team " + spec.team();
+    }
+    long count = spec.whole() ? spec.tasks() : 1;
+    if (spec.cpus() * count > team.cpusMax() || spec.gpus() * count > team.gpusMax()) {
+      return "cores, accelerators: more than the limit of team " + spec.team();
+    }
+    return null;
+  }
+
+  private void enqueue(Pending pending) {
+    if (queue.size() >= MAX_QUEUE) {
+      outbox.comeBack(pending.request(), 429, "too many requests are waiting", 3);
+      return;
+    }
+    queue.add(pending);
+    flush();
+  }
+
+  private boolean known(String id) {
+    return ledger.get(Job.key(id)) != null;
+  }
+
+  /** GET /work/ID. */
+  public void poll(long request, String id) {
+    if (over(request, id, true)) {
+      return;
+    }
+    if (!ledger.loaded()) {
+      outbox.comeBack(request, 503, "the state is not read yet", 1);
+      return;
+    }
+    ledger.barrier(
+        () -> answerState(request, id),
+        () -> outbox.comeBack(request, 503, "the state service does not answer", 1));
+  }
+
+  /** Answers if the job is over: that never changes again. */
+  private boolean over(long request, String id, boolean counts) {
+    Ledger.Entry entry = ledger.get(Job.key(id));
+    String phase = entry == null ? null : Json.text(entry.data(), "p");
+    if (phase == null) {
+      return false;
+    }
+    Map<String, Object> answer = Json.of("id", id, "phase", phase);
+    if (counts) {
+      answer.put("done", phase.equals("done") ? Json.num(entry.data(), "n", 0) : 0);
+      answer.put("running", 0);
+    }
+    outbox.answer(request, 200, answer);
+    return true;
+  }
+
+  private void answerState(long request, String id) {
+    if (over(request, id, true)) {
+      return;
+    }
+    Job job = jobs.active(id);
+    if (job == null) {
+      outbox.answer(request, 404, Json.of("error", "no such job"));
+      return;
+    }
+    int[] counts = around.counts(job);
+    String phase = counts[1] > 0 ? "running" : "queued";
+    outbox.answer(
+        request, 200, Json.of("id", id, "phase", phase, "done", counts[0], "running", counts[1]));
+  }
+
+  /** POST /work/ID/abort. */
+  public void abort(long request, String id) {
+    if (over(request, id, false)) {
+      return;
+    }
+    if (!ledger.loaded()) {
+      outbox.comeBack(request, 503, "the state is not read yet", 1);
+      return;
+    }
+    if (jobs.active(id) != null) {
+      enqueue(new Pending(request, id, null, true, nowMicros));
+      return;
+    }
+    ledger.barrier(
+        () -> {
+          if (over(request, id, false)) {
+            return;
+          }
+          if (jobs.active(id) != null) {
+            enqueue(new Pending(request, id, null, true, nowMicros));
+          } else {
+            outbox.answer(request, 404, Json.of("error", "no such job"));
+          }
+        },
+        () -> outbox.comeBack(request, 503, "the state service does not answer", 1));
+  }
+
+  public void tick(long now, long wall) {
+    nowMicros = now;
+    wallMicros = wall;
+    while (!queue.isEmpty() && now - queue.peek().sinceMicros() > MAX_WAIT_MICROS) {
+      outbox.comeBack(queue.poll().request(), 503, "not committed in time", 1);
+    }
+    flush();
+  }
+
+  /** Commits what waits, many requests in one transaction. */
+  private void flush() {
+    if (inFlight || queue.isEmpty() || nowMicros < nextMicros || !ledger.loaded()) {
+      return;
+    }
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    List<Write> writes = new ArrayList<>();
+    List<Pending> batch = new ArrayList<>();
+    List<Pending> later = new ArrayList<>();
+    int bytes = 0;
+    while (!queue.isEmpty() && writes.size() < settings.stateLimits().txnOps() && bytes < 40_000) {
+      Pending p = queue.poll();
+      String key = Job.key(p.id());
+      if (conditions.containsKey(key)) {
+        later.add(p);
+        continue;
+      }
+      if (p.abort()) {
+        Job job = jobs.active(p.id());
+        if (job == null) {
+          abort(p.request(), p.id());
+          continue;
+        }
+        conditions.put(key, job.stamp());
+        writes.add(Write.put(key, Job.over(Job.Phase.WITHDRAWN, job.tasks())));
+      } else if (known(p.id())) {
+        poll(p.request(), p.id());
+        continue;
+      } else {
+        conditions.put(key, 0L);
+        Map<String, Object> data = Job.accepted(p.spec(), around.homeShard(p.spec()), wallMicros);
+        bytes += Json.bytes(data).length;
+        writes.add(Write.put(key, data));
+      }
+      batch.add(p);
+    }
+    if (!batch.isEmpty() && ledger.takeWrites(batch.size(), 0)) {
+      inFlight = true;
+      ledger.commit(conditions, writes, outcome -> finished(outcome, batch));
+    } else {
+      for (int i = batch.size() - 1; i >= 0; i--) {
+        queue.addFirst(batch.get(i));
+      }
+    }
+    queue.addAll(later);
+  }
+
+  private void finished(Outcome outcome, List<Pending> batch) {
+    inFlight = false;
+    switch (outcome.result()) {
+      case DONE -> {
+        for (Pending p : batch) {
+          LOG.info("job {} {}", p.id(), p.abort() ? "withdrawn" : "accepted");
+          int status = p.abort() ? 200 : 201;
+          String phase = p.abort() ? "withdrawn" : "queued";
+          outbox.answer(p.request(), status, Json.of("id", p.id(), "phase", phase));
+        }
+      }
+      case CONFLICT ->
+          // Somebody else changed one of these jobs; with the copy that new, each is looked at
+          // anew.
+          ledger.whenAt(
+              outcome.epoch(),
+              () -> {
+                queue.addAll(batch);
+                flush();
+              });
+      case UNKNOWN ->
+          // The transaction may still be applied; a repeat finds the job or commits it again.
+          batch.forEach(
+              p -> outbox.comeBack(p.request(), 503, "the state service does not answer", 1));
+      default -> {
+        batch.forEach(
+            p -> outbox.comeBack(p.request(), 503, "the state service is out of order", 1));
+        nextMicros = nowMicros + 100_000;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/ledger/Ledger.java
@@ -0,0 +1,422 @@
+package gladeknot.ledger;
+
+import gladeknot.http.Json;
+import gladeknot.http.Outbox;
+import gladeknot.settings.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The client of the state service: a followed copy of every key, commits, and the read barrier that
+ * tells whether the copy is as new as some moment.
+ */
+public final class Ledger {
+  private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+
+  /** All keys lie under one prefix, so that one watch sees every change. */
+  public static final String ROOT = "g/";
+
+  private static final String BARRIER_KEY = "/kv/" + ROOT + "-";
+  private static final long CALL_MICROS = 2_500_000;
+  private static final int FOLLOW_MS = 8_000;
+  private static final long BARRIER_GAP_MICROS = 80_000;
+  private static final long BARRIER_WAIT_MICROS = 1_500_000;
+  private static final int PAGE = 400;
+
+  /** A key's value and the stamp of its last change. */
+  public record Entry(Map<String, Object> data, long stamp) {}
+
+  /** One change of a transaction; without data it deletes. */
+  public record Write(String key, Map<String, Object> data, long grant) {
+    public static Write put(String key, Map<String, Object> data) {
+      return new Write(key, data, 0);
+    }
+
+    public static Write delete(String key) {
+      return new Write(key, null, 0);
+    }
+  }
+
+  /** How a transaction ended. */
+  public enum Result {
+    DONE,
+    CONFLICT,
+    /** Surely not executed: the service is out of order or busy. */
+    REFUSED,
+    /** Surely not executed: the lease to attach to has ended, or the request was malformed. */
+    BAD,
+    /** No answer: it may have been executed, or may still be. */
+    UNKNOWN
+  }
+
+  /** A transaction's end; for a conflict with the keys that had changed. */
+  public record Outcome(Result result, long epoch, List<String> failed) {}
+
+  /** Hears of every change of the copy. */
+  public interface Listener {
+    void changed(String key, Entry before, Entry now);
+  }
+
+  private static final class Barrier {
+    private final Runnable fresh;
+    private final Runnable failed;
+    private final long deadlineMicros;
+    private long epoch = -1;
+    private long sentMicros;
+
+    private Barrier(Runnable fresh, Runnable failed, long deadlineMicros) {
+      this.fresh = fresh;
+      this.failed = failed;
+      this.deadlineMicros = deadlineMicros;
+    }
+  }
+
+  private final String address;
+  private final Outbox outbox;
+  private final Listener listener;
+  private final RandomGenerator random;
+  private final Tokens requests;
+  private final Tokens writes;
+  private final TreeMap<String, Entry> view = new TreeMap<>();
+  private final Map<String, Long> deletedAt = new HashMap<>();
+  private long epoch;
+  private boolean loaded;
+  private boolean loading;
+  private boolean following;
+  private long retryMicros;
+  private TreeMap<String, Entry> page;
+  private long pageEpoch;
+  private final List<Barrier> asked = new ArrayList<>();
+  private final List<Barrier> reading = new ArrayList<>();
+  private boolean barrierInFlight;
+  private long lastBarrierMicros = Long.MIN_VALUE / 2;
+  private long freshMicros = Long.MIN_VALUE / 2;
+  private final List<Map.Entry<Long, Runnable>> atEpoch = new ArrayList<>();
+  private long nowMicros;
+
+  public Ledger(Settings settings, Outbox outbox, RandomGenerator random, Listener listener) {
+    this.address = settings.state();
+    this.outbox = outbox;
+    this.random = random;
+    this.listener = listener;
+    double part = 0.92 / settings.nodes().size();
+    double rps = settings.stateLimits().rps() * part;
+    double writeRps = settings.stateLimits().writeRps() * part;
+    this.requests = new Tokens(rps, rps);
+    this.writes = new Tokens(writeRps, writeRps);
+  }
+
+  public boolean loaded() {
+    return loaded;
+  }
+
+  public long epoch() {
+    return epoch;
+  }
+
+  /** When the copy is known to have been current. */
+  public long freshMicros() {
+    return freshMicros;
+  }
+
+  public Entry get(String key) {
+    return view.get(key);
+  }
+
+  public long stamp(String key) {
+    Entry entry = view.get(key);
+    return entry == null ? 0 : entry.stamp();
+  }
+
+  public SortedMap<String, Entry> under(String prefix) {
+    return view.subMap(prefix, prefix + Character.MAX_VALUE);
+  }
+
+  /** Write tokens for a transaction of the given size, leaving some to more urgent ones. */
+  public boolean takeWrites(int count, double keepShare) {
+    double keep = keepShare * writes.burst();
+    return requests.take(1, 2, nowMicros) && writes.take(count, keep, nowMicros);
+  }
+
+  /** Lets time pass. */
+  public void tick(long now) {
+    nowMicros = now;
+    if (!loaded && !loading && now >= retryMicros) {
+      loading = true;
+      page = new TreeMap<>();
+      pageEpoch = -1;
+      load("");
+    }
+    if (loaded && !following && now >= retryMicros) {
+      follow();
+    }
+    if (!asked.isEmpty()
+        && !barrierInFlight
+        && loaded
+        && now - lastBarrierMicros >= BARRIER_GAP_MICROS
+        && requests.take(1, 1, now)) {
+      sendBarrier();
+    }
+    expire(asked);
+    expire(reading);
+  }
+
+  private void expire(List<Barrier> barriers) {
+    if (barriers.isEmpty() || barriers.get(0).deadlineMicros > nowMicros) {
+      return;
+    }
+    List<Barrier> late = barriers.stream().filter(b -> b.deadlineMicros <= nowMicros).toList();
+    barriers.removeAll(late);
+    late.forEach(b -> b.failed.run());
+  }
+
+  /** Any call to the state service. */
+  public void call(
+      String method, String path, Object body, long timeoutMicros, Outbox.ReplyHandler handler) {
+    outbox.call(
+        address,
+        method,
+        path,
+        body,
+        timeoutMicros,
+        reply -> {
+          if (reply.status() == 429) {
+            requests.drain(nowMicros);
+            writes.drain(nowMicros);
+          }
+          handler.on(reply);
+        });
+  }
+
+  /** A call that goes even when its tokens are used up. */
+  public void urgent(
+      String method, String path, Object body, long timeoutMicros, Outbox.ReplyHandler handler) {
+    requests.force(1, nowMicros);
+    call(method, path, body, timeoutMicros, handler);
+  }
+
+  private void load(String from) {
+    requests.force(1, nowMicros);
+    String after = from.isEmpty() ? "" : "&from=" + from;
+    call(
+        "GET",
+        "/kv?starts=" + ROOT + after + "&most=" + PAGE,
+        null,
+        CALL_MICROS * 2,
+        reply -> {
+          if (reply.status() != 200) {
+            loading = false;
+            backOff();
+            return;
+          }
+          Map<String, Object> body = reply.object();
+          if (pageEpoch < 0) {
+            pageEpoch = Json.num(body, "epoch", 0);
+          }
+          String last = from;
+          for (Map<String, Object> item : Json.objects(body, "items")) {
+            last = Json.text(item, "path");
+            page.put(last, new Entry(Json.map(item.get("data")), Json.num(item, "stamp", 0)));
+          }
+          if (Json.flag(body, "more") && !last.equals(from)) {
+            load(last);
+          } else {
+            finishLoad();
+          }
+        });
+  }
+
+  private void finishLoad() {
+    loading = false;
+    loaded = true;
+    List<String> gone = view.keySet().stream().filter(k -> !page.containsKey(k)).toList();
+    epoch = Math.max(epoch, pageEpoch);
+    TreeMap<String, Entry> read = page;
+    page = null;
+    for (String key : gone) {
+      if (view.get(key).stamp() <= pageEpoch) {
+        set(key, null);
+      }
+    }
+    read.forEach(
+        (key, entry) -> {
+          if (entry.stamp() > stamp(key)) {
+            set(key, entry);
+          }
+        });
+    LOG.info("state read at epoch {}: {} keys", epoch, view.size());
+    reachedEpoch();
+  }
+
+  private void backOff() {
+    retryMicros = nowMicros + 200_000 + random.nextInt(300_000);
+  }
+
+  private void follow() {
+    following = true;
+    requests.force(1, nowMicros);
+    call(
+        "GET",
+        "/follow?starts=" + ROOT + "&from=" + epoch + "&waitMs=" + FOLLOW_MS,
+        null,
+        FOLLOW_MS * 1000L + 4_000_000,
+        reply -> {
+          following = false;
+          if (reply.status() == 410) {
+            loaded = false;
+            return;
+          }
+          if (reply.status() != 200) {
+            backOff();
+            return;
+          }
+          Map<String, Object> body = reply.object();
+          for (Map<String, Object> event : Json.objects(body, "events")) {
+            apply(event);
+          }
+          epoch = Math.max(epoch, Json.num(body, "epoch", epoch));
+          deletedAt.values().removeIf(at -> at <= epoch);
+          follow();
+          reachedEpoch();
+        });
+  }
+
+  private void apply(Map<String, Object> event) {
+    long stamp = Json.num(event, "stamp", 0);
+    String written = Json.text(event, "write");
+    String key = written != null ? written : Json.text(event, "delete");
+    if (key == null || stamp <= stamp(key) || stamp <= deletedAt.getOrDefault(key, 0L)) {
+      return;
+    }
+    set(key, written == null ? null : new Entry(Json.map(event.get("data")), stamp));
+  }
+
+  private void set(String key, Entry now) {
+    Entry before = now == null ? view.remove(key) : view.put(key, now);
+    if (before != null || now != null) {
+      listener.changed(key, before, now);
+    }
+  }
+
+  private void reachedEpoch() {
+    if (!atEpoch.isEmpty()) {
+      List<Map.Entry<Long, Runnable>> due =
+          atEpoch.stream().filter(e -> e.getKey() <= epoch).toList();
+      atEpoch.removeAll(due);
+      due.forEach(e -> e.getValue().run());
+    }
+    if (reading.isEmpty()) {
+      return;
+    }
+    List<Barrier> done = reading.stream().filter(b -> b.epoch >= 0 && b.epoch <= epoch).toList();
+    reading.removeAll(done);
+    for (Barrier b : done) {
+      freshMicros = Math.max(freshMicros, b.sentMicros);
+      b.fresh.run();
+    }
+  }
+
+  /** Runs something once the copy has reached an epoch. */
+  public void whenAt(long wanted, Runnable then) {
+    if (loaded && epoch >= wanted) {
+      then.run();
+    } else {
+      atEpoch.add(Map.entry(wanted, then));
+    }
+  }
+
+  /**
+   * Runs one of two things: {@code fresh} once the copy is as new as this moment, {@code failed}
+   * when that can't be learnt soon. Many barriers share one read.
+   */
+  public void barrier(Runnable fresh, Runnable failed) {
+    asked.add(new Barrier(fresh, failed, nowMicros + BARRIER_WAIT_MICROS));
+  }
+
+  private void sendBarrier() {
+    barrierInFlight = true;
+    lastBarrierMicros = nowMicros;
+    List<Barrier> batch = List.copyOf(asked);
+    asked.clear();
+    batch.forEach(b -> b.sentMicros = nowMicros);
+    call(
+        "GET",
+        BARRIER_KEY,
+        null,
+        BARRIER_WAIT_MICROS,
+        reply -> {
+          barrierInFlight = false;
+          long at = reply.status() == 404 ? Json.num(reply.object(), "epoch", -1) : -1;
+          if (at < 0) {
+            batch.forEach(b -> b.failed.run());
+            return;
+          }
+          batch.forEach(b -> b.epoch = at);
+          reading.addAll(batch);
+          reachedEpoch();
+        });
+  }
+
+  /** Sends a transaction. Tokens are the caller's affair, see {@link #takeWrites}. */
+  public void commit(Map<String, Long> conditions, List<Write> changes, Consumer<Outcome> then) {
+    List<Object> ifs = new ArrayList<>();
+    conditions.forEach((key, stamp) -> ifs.add(Json.of("path", key, "stamp", stamp)));
+    List<Object> ops = new ArrayList<>();
+    for (Write w : changes) {
+      if (w.data() == null) {
+        ops.add(Json.of("delete", w.key()));
+      } else if (w.grant() != 0) {
+        ops.add(Json.of("write", w.key(), "data", w.data(), "grant", w.grant()));
+      } else {
+        ops.add(Json.of("write", w.key(), "data", w.data()));
+      }
+    }
+    call(
+        "POST",
+        "/commit",
+        Json.of("if", ifs, "writes", ops),
+        CALL_MICROS,
+        reply -> then.accept(outcome(reply, changes)));
+  }
+
+  private Outcome outcome(Outbox.Reply reply, List<Write> changes) {
+    Map<String, Object> body = reply.object();
+    long at = Json.num(body, "epoch", -1);
+    switch (reply.status()) {
+      case 200 -> {
+        for (Write w : changes) {
+          if (at > stamp(w.key()) && at > deletedAt.getOrDefault(w.key(), 0L)) {
+            if (w.data() == null) {
+              deletedAt.put(w.key(), at);
+              set(w.key(), null);
+            } else {
+              set(w.key(), new Entry(w.data(), at));
+            }
+          }
+        }
+        return new Outcome(Result.DONE, at, List.of());
+      }
+      case 409 -> {
+        return new Outcome(Result.CONFLICT, at, Json.texts(body, "failed"));
+      }
+      case 429, 503 -> {
+        return new Outcome(Result.REFUSED, -1, List.of());
+      }
+      case 400 -> {
+        LOG.error("transaction refused as malformed: {}", body.get("error"));
+        return new Outcome(Result.BAD, -1, List.of());
+      }
+      default -> {
+        return new Outcome(Result.UNKNOWN, -1, List.of());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/ledger/Tokens.java
@@ -0,0 +1,49 @@
+package gladeknot.ledger;
+
+/** A bucket of tokens, filled at a steady rate up to one second's worth (or a given burst). */
+public final class Tokens {
+  private final double ratePerMicro;
+  private final double burst;
+  private double level;
+  private long lastMicros;
+
+  public Tokens(double perSecond, double burst) {
+    this.ratePerMicro = perSecond / 1e6;
+    this.burst = burst;
+    this.level = burst;
+  }
+
+  public double burst() {
+    return burst;
+  }
+
+  private void refill(long nowMicros) {
+    if (nowMicros > lastMicros) {
+      level = Math.min(burst, level + (nowMicros - lastMicros) * ratePerMicro);
+      lastMicros = nowMicros;
+    }
+  }
+
+  /** Takes tokens if so many are there and {@code keep} stay for what matters more. */
+  public boolean take(double count, double keep, long nowMicros) {
+    refill(nowMicros);
+    // What is larger than the bucket may go once the bucket is full.
+    if (level < Math.min(burst, count + keep)) {
+      return false;
+    }
+    level -= count;
+    return true;
+  }
+
+  /** Takes tokens in any case; for what must not wait, such as lease renewals. */
+  public void force(double count, long nowMicros) {
+    refill(nowMicros);
+    level = Math.max(-burst, level - count);
+  }
+
+  /** Empties the bucket after the service said that it was asked too often. */
+  public void drain(long nowMicros) {
+    refill(nowMicros);
+    level = Math.min(level, 0);
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -0,0 +1,381 @@
+package gladeknot.membership;
+
+import gladeknot.http.Json;
+import gladeknot.ledger.Ledger;
+import gladeknot.ledger.Ledger.Result;
+import gladeknot.ledger.Ledger.Write;
+import gladeknot.settings.Settings;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The controllers' leases, and which of them owns which shard under which term.
+ *
+ * <p>A shard's key outlives its owner. It changes hands by one conditional write: to its home node
+ * by the present owner, or to any node once the owner's leased liveness key is gone. Each change
+ * draws a new term from one global counter.
+ */
+public final class Membership {
+  private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+  private static final String ALIVE = Ledger.ROOT + "alive/";
+  private static final String SHARD = Ledger.ROOT + "shard/";
+  private static final String TERM = Ledger.ROOT + "term";
+
+  /** Clocks drift apart by at most 0.05%; twice that covers two of them. */
+  private static final double DRIFT = 0.001;
+
+  private static final long CALL_MICROS = 2_000_000;
+  private static final long STEP_MICROS = 400_000;
+
+  /** Hears when a shard begins and ceases to be ours. */
+  public interface Listener {
+    /** Ours now, under a new term or after an unclear commit: read its slices anew. */
+    void gained(int shard);
+
+    void lost(int shard);
+  }
+
+  private final Settings settings;
+  private final List<String> nodes;
+  private final int home;
+  private final Ledger ledger;
+  private final Listener listener;
+  private final long ttlMicros;
+
+  private long grant;
+  private long renewedMicros = Long.MIN_VALUE / 2;
+  private long nextRenewMicros;
+  private boolean renewing;
+  private boolean alive;
+  private boolean announcing;
+  private long nowMicros;
+  private long nextBarrierMicros;
+  private final Set<Integer> owned = new HashSet<>();
+  private final Set<Integer> yielding = new HashSet<>();
+  private final Set<Integer> unclear = new HashSet<>();
+  private final long[] lapsedSince;
+  private final long[] sinceMicros;
+  private boolean moving;
+  private long nextMoveMicros;
+
+  public Membership(Settings settings, Ledger ledger, Listener listener) {
+    this.settings = settings;
+    this.nodes = settings.nodes();
+    this.home = nodes.indexOf(settings.node());
+    this.ledger = ledger;
+    this.listener = listener;
+    this.ttlMicros = settings.stateLeaseMicros();
+    this.lapsedSince = new long[nodes.size()];
+    this.sinceMicros = new long[nodes.size()];
+  }
+
+  public int shards() {
+    return nodes.size();
+  }
+
+  public int home() {
+    return home;
+  }
+
+  public static String shardKey(int shard) {
+    return SHARD + shard;
+  }
+
+  /** Whether this controller's lease surely holds, so that it may act for its shards. */
+  public boolean entitled() {
+    long since = Math.min(renewedMicros, ledger.freshMicros());
+    return alive && nowMicros < since + (long) (ttlMicros * (1 - DRIFT)) - 50_000;
+  }
+
+  /** Whether a shard is ours and this controller may act for it. */
+  public boolean actsFor(int shard) {
+    return owned.contains(shard) && !yielding.contains(shard) && entitled();
+  }
+
+  /** Whether commits for a shard may go: acting, and no former commit's fate is unclear. */
+  public boolean commitsFor(int shard) {
+    return actsFor(shard) && !unclear.contains(shard) && ledger.loaded();
+  }
+
+  /** This life of this controller: the number of its state lease. */
+  public long incarnation() {
+    return grant;
+  }
+
+  public Set<Integer> owned() {
+    return owned;
+  }
+
+  /** Since when a shard has been ours. */
+  public long sinceMicros(int shard) {
+    return sinceMicros[shard];
+  }
+
+  /** A shard's term, the token that its workers are shown. */
+  public long term(int shard) {
+    Ledger.Entry entry = ledger.get(shardKey(shard));
+    return entry == null ? 0 : Json.num(entry.data(), "term", 0);
+  }
+
+  /** The owner of a shard, if its lease is seen to hold. */
+  public String liveOwner(int shard) {
+    Ledger.Entry entry = ledger.get(shardKey(shard));
+    String owner = entry == null ? null : Json.text(entry.data(), "owner");
+    return owner != null && ledger.get(ALIVE + owner) != null ? owner : null;
+  }
+
+  public int liveNodes() {
+    return Math.max(1, ledger.under(ALIVE).size());
+  }
+
+  /** A commit for a shard got no answer: nothing more goes until a new stamp makes it void. */
+  public void unclear(int shard) {
+    if (owned.contains(shard)) {
+      unclear.add(shard);
+    }
+  }
+
+  /** A worker of the shard has seen a higher token than its term. */
+  public void raise(int shard) {
+    unclear(shard);
+  }
+
+  public void tick(long now) {
+    nowMicros = now;
+    if (!ledger.loaded()) {
+      return;
+    }
+    if (!renewing && now >= nextRenewMicros) {
+      renew();
+    }
+    if (alive && now >= nextBarrierMicros) {
+      // The copy must be known to be current for as long as the lease is to hold: a lease that
+      // is renewed while the watch is stuck would hide a cancellation or a takeover.
+      nextBarrierMicros = now + ttlMicros / 8;
+      ledger.barrier(
+          () -> {}, () -> nextBarrierMicros = Math.min(nextBarrierMicros, nowMicros + 700_000));
+    }
+    if (alive && !moving && now >= nextMoveMicros) {
+      nextMoveMicros = now + 50_000;
+      move();
+    }
+  }
+
+  private void renew() {
+    renewing = true;
+    long sent = nowMicros;
+    if (grant == 0) {
+      alive = false;
+      ledger.urgent(
+          "POST",
+          "/holds",
+          Json.of("ttlMs", ttlMicros / 1000),
+          CALL_MICROS,
+          reply -> {
+            renewing = false;
+            if (reply.status() == 200) {
+              grant = Json.num(reply.object(), "grant", 0);
+              renewedMicros = sent;
+              announce();
+            }
+            nextRenewMicros = nowMicros + (grant == 0 ? STEP_MICROS : ttlMicros / 8);
+          });
+      return;
+    }
+    ledger.urgent(
+        "POST",
+        "/holds/" + grant + "/extend",
+        null,
+        CALL_MICROS,
+        reply -> {
+          renewing = false;
+          if (reply.status() == 200) {
+            renewedMicros = sent;
+            nextRenewMicros = nowMicros + ttlMicros / 8;
+            if (!alive) {
+              announce();
+            }
+          } else if (reply.status() == 404) {
+            LOG.info("state lease {} has ended; a new one is taken", grant);
+            grant = 0;
+            alive = false;
+            List.copyOf(owned).forEach(this::drop);
+            nextRenewMicros = nowMicros;
+          } else {
+            nextRenewMicros = nowMicros + STEP_MICROS;
+          }
+        });
+  }
+
+  /** Puts up the liveness key under the new lease, over one that a former life may have left. */
+  private void announce() {
+    if (announcing) {
+      return;
+    }
+    announcing = true;
+    long with = grant;
+    Write write = new Write(ALIVE + settings.node(), Json.of("inc", with), with);
+    ledger.takeWrites(1, 0);
+    ledger.commit(
+        Map.of(),
+        List.of(write),
+        outcome -> {
+          announcing = false;
+          if (outcome.result() == Result.DONE && with == grant) {
+            alive = true;
+            LOG.info("alive as {} under state lease {}", settings.node(), grant);
+          } else if (outcome.result() == Result.BAD && with == grant) {
+            grant = 0;
+            nextRenewMicros = nowMicros;
+          } else {
+            nextRenewMicros = nowMicros + STEP_MICROS;
+          }
+        });
+  }
+
+  /** One step of moving shards: give ours back, take lapsed ones, make stamps new. */
+  private void move() {
+    for (int shard = 0; shard < nodes.size(); shard++) {
+      Ledger.Entry entry = ledger.get(shardKey(shard));
+      String owner = entry == null ? null : Json.text(entry.data(), "owner");
+      boolean mine = settings.node().equals(owner);
+      boolean thisLife = mine && Json.num(entry.data(), "inc", 0) == grant;
+      if (owned.contains(shard) && !thisLife) {
+        drop(shard);
+      }
+      if (thisLife && !owned.contains(shard)) {
+        gain(shard);
+      }
+      if (thisLife) {
+        lapsedSince[shard] = 0;
+        if (unclear.contains(shard) || yielding.contains(shard)) {
+          take(shard, entry, settings.node(), grant, Map.of());
+          return;
+        }
+        Ledger.Entry homeAlive = ledger.get(ALIVE + nodes.get(shard));
+        if (shard != home && homeAlive != null) {
+          // The home node is back. From here until the outcome is known no worker of the shard
+          // is answered, so that its new owner may count from the change of hands.
+          if (take(
+              shard,
+              entry,
+              nodes.get(shard),
+              Json.num(homeAlive.data(), "inc", 0),
+              Map.of(ALIVE + nodes.get(shard), homeAlive.stamp()))) {
+            yielding.add(shard);
+          }
+          return;
+        }
+        continue;
+      }
+      if (owner == null || mine) {
+        // Nobody's yet, or this node's own from a former life.
+        if (mine || shard == home || waited(shard)) {
+          take(shard, entry, settings.node(), grant, Map.of());
+          return;
+        }
+        continue;
+      }
+      if (ledger.get(ALIVE + owner) != null) {
+        lapsedSince[shard] = 0;
+      } else if (shard == home || waited(shard)) {
+        take(shard, entry, settings.node(), grant, Map.of(ALIVE + owner, 0L));
+        return;
+      }
+    }
+  }
+
+  /** Nodes that come later in the ring wait a little longer, so that mostly one tries. */
+  private boolean waited(int shard) {
+    if (lapsedSince[shard] == 0) {
+      lapsedSince[shard] = nowMicros;
+    }
+    int place = Math.floorMod(home - shard - 1, nodes.size());
+    return nowMicros - lapsedSince[shard] >= 100_000 + 500_000L * (place + owned.size());
+  }
+
+  private boolean take(
+      int shard, Ledger.Entry entry, String to, long inc, Map<String, Long> alsoIf) {
+    if (!ledger.takeWrites(2, 0)) {
+      return false;
+    }
+    Ledger.Entry counter = ledger.get(TERM);
+    long term = 1 + (counter == null ? 0 : Json.num(counter.data(), "n", 0));
+    Map<String, Long> conditions = new LinkedHashMap<>(alsoIf);
+    conditions.put(shardKey(shard), entry == null ? 0 : entry.stamp());
+    conditions.put(TERM, counter == null ? 0 : counter.stamp());
+    // A former life's or a lapsed life's write must not take anything: the lease must stand.
+    conditions.put(ALIVE + settings.node(), ledger.stamp(ALIVE + settings.node()));
+    List<Write> writes = new ArrayList<>();
+    writes.add(Write.put(shardKey(shard), Json.of("owner", to, "inc", inc, "term", term)));
+    writes.add(Write.put(TERM, Json.of("n", term)));
+    moving = true;
+    ledger.commit(
+        conditions,
+        writes,
+        outcome -> {
+          switch (outcome.result()) {
+            case DONE -> {
+              LOG.info("shard {} now with {} under term {}", shard, to, term);
+              yielding.remove(shard);
+              moving = false;
+              if (to.equals(settings.node())) {
+                // Earlier commits of unclear fate are void now; wait until the copy holds all.
+                moving = true;
+                ledger.whenAt(
+                    outcome.epoch(),
+                    () -> {
+                      moving = false;
+                      unclear.remove(shard);
+                      if (inc == grant && stillMine(shard)) {
+                        gain(shard);
+                      }
+                    });
+              } else {
+                drop(shard);
+              }
+            }
+            case CONFLICT -> {
+              moving = true;
+              ledger.whenAt(outcome.epoch(), () -> moving = false);
+            }
+            default -> {
+              moving = false;
+              if (outcome.result() == Result.UNKNOWN && owned.contains(shard)) {
+                unclear.add(shard);
+              }
+              nextMoveMicros = nowMicros + STEP_MICROS;
+            }
+          }
+        });
+    return true;
+  }
+
+  private boolean stillMine(int shard) {
+    Ledger.Entry entry = ledger.get(shardKey(shard));
+    return entry != null
+        && settings.node().equals(Json.text(entry.data(), "owner"))
+        && Json.num(entry.data(), "inc", 0) == grant;
+  }
+
+  private void gain(int shard) {
+    owned.add(shard);
+    sinceMicros[shard] = nowMicros;
+    listener.gained(shard);
+  }
+
+  private void drop(int shard) {
+    if (owned.remove(shard)) {
+      yielding.remove(shard);
+      unclear.remove(shard);
+      LOG.info("shard {} is no longer ours", shard);
+      listener.lost(shard);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/placement/Attempt.java
@@ -0,0 +1,98 @@
+package gladeknot.placement;
+
+/** One start of a task on a worker, from its decision until its end is committed. */
+public final class Attempt {
+  /** What a worker's newest report says of it. */
+  public enum Seen {
+    NOT_YET,
+    FETCHING,
+    WAITING,
+    RUNNING,
+    SAVING
+  }
+
+  private final Slice slice;
+  private final int task;
+  private final long number;
+  private final String host;
+  private final long decidedMicros;
+
+  /** In the ledger: it may be sent. */
+  boolean committed;
+
+  /** Off its machine for sure; kept until that is committed. */
+  boolean closed;
+
+  /** Closed because it completed. */
+  boolean finished;
+
+  /** Whether its run may have reached the worker. */
+  boolean sent;
+
+  Seen seen = Seen.NOT_YET;
+  long runningSinceMicros;
+
+  /** When a kill was first wanted; 0 if none is. */
+  long killMicros;
+
+  double graceS;
+  long lastKillMicros;
+
+  Attempt(Slice slice, int task, long number, String host, long decidedMicros) {
+    this.slice = slice;
+    this.task = task;
+    this.number = number;
+    this.host = host;
+    this.decidedMicros = decidedMicros;
+  }
+
+  public Slice slice() {
+    return slice;
+  }
+
+  public int task() {
+    return task;
+  }
+
+  public long number() {
+    return number;
+  }
+
+  public String host() {
+    return host;
+  }
+
+  public long decidedMicros() {
+    return decidedMicros;
+  }
+
+  public boolean committed() {
+    return committed;
+  }
+
+  public boolean closed() {
+    return closed;
+  }
+
+  public Seen seen() {
+    return seen;
+  }
+
+  public long runningSinceMicros() {
+    return runningSinceMicros;
+  }
+
+  public boolean killed() {
+    return killMicros != 0;
+  }
+
+  /** The task's name on the wire. */
+  public String name() {
+    return slice.job() + "/" + task;
+  }
+
+  @Override
+  public String toString() {
+    return name() + " attempt " + number + " on " + host;
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -0,0 +1,375 @@
+package gladeknot.placement;
+
+import gladeknot.http.Json;
+import gladeknot.http.Outbox;
+import gladeknot.jobs.Job;
+import gladeknot.jobs.JobBook;
+import gladeknot.jobs.JobSpec.Shape;
+import gladeknot.ledger.Ledger.Write;
+import gladeknot.membership.Membership;
+import gladeknot.settings.Settings;
+import gladeknot.workers.Report;
+import gladeknot.workers.Worker;
+import gladeknot.workers.WorkerBook;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Follows attempts from their commit to their end: runs, kills, reaps, lapses, final states. */
+public final class Scheduler {
+  private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
+  private static final long CHECK_MICROS = 250_000;
+  private static final long ORDERS_MICROS = 3_000_000;
+
+  /** Worker and controller clocks drift by at most 0.05% each; some more for answers on the way. */
+  private static final double DRIFT = 0.0015;
+
+  private static final long LAPSE_MARGIN_MICROS = 300_000;
+
+  private final Settings settings;
+  private final Membership membership;
+  private final JobBook jobs;
+  private final SliceBook slices;
+  private final WorkerBook workers;
+  private final Recorder recorder;
+  private final Outbox outbox;
+  private final ImageSizes types;
+  private final Set<String> finishing = new HashSet<>();
+  private long nowMicros;
+  private long nextCheckMicros;
+  private boolean changed;
+
+  /** The image cache's size on a type of machine. */
+  public interface ImageSizes {
+    double cacheGb(String type);
+  }
+
+  public Scheduler(
+      Settings settings,
+      Membership membership,
+      JobBook jobs,
+      SliceBook slices,
+      WorkerBook workers,
+      Recorder recorder,
+      Outbox outbox,
+      ImageSizes types) {
+    this.settings = settings;
+    this.membership = membership;
+    this.jobs = jobs;
+    this.slices = slices;
+    this.workers = workers;
+    this.recorder = recorder;
+    this.outbox = outbox;
+    this.types = types;
+  }
+
+  /** Whether something happened since the last call that may let tasks be placed. */
+  public boolean takeChanged() {
+    boolean was = changed;
+    changed = false;
+    return was;
+  }
+
+  public void touch() {
+    changed = true;
+  }
+
+  public void tick(long now) {
+    nowMicros = now;
+    if (now < nextCheckMicros) {
+      return;
+    }
+    nextCheckMicros = now + CHECK_MICROS;
+    for (int shard : membership.owned()) {
+      if (membership.commitsFor(shard)) {
+        lapses(shard);
+      }
+    }
+    finals();
+  }
+
+  /** Takes a job's change in: what is over is stopped. */
+  public void jobChanged(Job before, Job now) {
+    String id = now != null ? now.id() : before.id();
+    slices.jobChanged(id, now);
+    changed = true;
+    if (now != null && now.active()) {
+      return;
+    }
+    finishing.remove(id);
+    for (Slice s : slices.of(id)) {
+      if (membership.owned().contains(s.shard())) {
+        stopAll(s);
+        recorder.changed(s);
+      }
+    }
+  }
+
+  /** A slice's record has changed in the copy. */
+  public void recordChanged(String key) {
+    String rest = key.substring(Slice.KEYS.length());
+    int slash = rest.indexOf('/');
+    int shard = Integer.parseInt(rest.substring(0, slash));
+    String id = rest.substring(slash + 1);
+    Slice s = slices.get(shard, id);
+    changed = true;
+    if (s != null && recorder.busy(s)) {
+      return;
+    }
+    if (s != null && membership.owned().contains(shard)) {
+      if (s.stamp != slices.recordStamp(key)) {
+        recorder.reload(s);
+      }
+      return;
+    }
+    slices.recordChanged(shard, id, jobs.active(id));
+  }
+
+  private void stopAll(Slice s) {
+    for (Attempt a : List.copyOf(s.out.values())) {
+      if (!a.committed) {
+        slices.remove(a);
+      } else if (!a.closed) {
+        kill(a, 0);
+      }
+    }
+  }
+
+  /** Stops an attempt, at once by a command and again with each report's answer. */
+  void kill(Attempt a, double graceS) {
+    if (a.killMicros == 0) {
+      a.killMicros = nowMicros;
+      LOG.info("kill {} grace {} s term {}", a, graceS, membership.term(a.slice().shard()));
+    }
+    a.graceS = graceS;
+    Worker w = workers.get(a.host());
+    if (w == null || w.report() == null || !membership.actsFor(a.slice().shard())) {
+      return;
+    }
+    a.lastKillMicros = nowMicros;
+    outbox.call(
+        w.report().endpoint(),
+        "POST",
+        "/orders",
+        Json.of(
+            "fence", membership.term(a.slice().shard()),
+            "tenure", w.report().tenure(),
+            "orders", List.of(order("kill", a.name(), a.number(), graceS))),
+        ORDERS_MICROS,
+        reply -> {});
+  }
+
+  private static Map<String, Object> order(String verb, String name, long number, double graceS) {
+    Map<String, Object> order = new LinkedHashMap<>();
+    order.put("verb", verb);
+    order.put("strand", name);
+    order.put("try", number);
+    if (verb.equals("kill")) {
+      order.put("windDownS", graceS);
+    }
+    return order;
+  }
+
+  /** Takes a report in and says what the worker is to do. */
+  public List<Map<String, Object>> orders(Worker worker, Report report) {
+    int shard = worker.shard();
+    // A report from before our term may be an old one that was held up on its way. What it lists
+    // as ended has ended; what it leaves out may have been started since.
+    boolean fresh = report.token() >= membership.term(shard);
+    List<Map<String, Object>> reaps = new ArrayList<>();
+    List<Map<String, Object>> kills = new ArrayList<>();
+    List<Map<String, Object>> runs = new ArrayList<>();
+    Set<String> listed = new HashSet<>();
+    for (Report.Task t : report.tasks()) {
+      Attempt a = worker.attempts().get(t.name());
+      boolean ours = a != null && a.number() == t.number() && a.slice().shard() == shard;
+      if (ours) {
+        listed.add(t.name());
+      }
+      if (!ours) {
+        if (t.ended()) {
+          reaps.add(order("reap", t.name(), t.number(), 0));
+        } else {
+          kills.add(order("kill", t.name(), t.number(), 0));
+        }
+      } else if (!a.closed) {
+        if (t.ended()) {
+          ended(worker, a, t.cause());
+        } else {
+          seen(worker, a, t.phase());
+          if (a.killed()) {
+            double left = a.graceS - (nowMicros - a.killMicros) / 1e6;
+            kills.add(order("kill", t.name(), t.number(), Math.max(0, left)));
+          }
+        }
+      }
+    }
+    for (Attempt a : List.copyOf(worker.attempts().values())) {
+      if (a.slice().shard() != shard || a.closed || !a.committed || listed.contains(a.name())) {
+        continue;
+      }
+      boolean wanted = !a.killed() && jobs.active(a.slice().job()) != null;
+      if (a.seen != Attempt.Seen.NOT_YET || !wanted) {
+        if (fresh || !a.sent) {
+          gone(a, "no longer reported");
+        }
+      } else {
+        a.sent = true;
+        runs.add(order("run", a.name(), a.number(), 0));
+      }
+    }
+    List<Map<String, Object>> orders = new ArrayList<>(reaps);
+    orders.addAll(kills);
+    orders.addAll(runs);
+    changed = true;
+    return orders;
+  }
+
+  private void seen(Worker worker, Attempt a, String phase) {
+    a.sent = true;
+    switch (phase) {
+      case "fetching" -> a.seen = Attempt.Seen.FETCHING;
+      case "waiting" -> a.seen = Attempt.Seen.WAITING;
+      case "saving" -> a.seen = Attempt.Seen.SAVING;
+      default -> {
+        a.seen = Attempt.Seen.RUNNING;
+        if (a.runningSinceMicros == 0) {
+          a.runningSinceMicros = nowMicros;
+        }
+      }
+    }
+    Job job = jobs.active(a.slice().job());
+    if (a.seen != Attempt.Seen.FETCHING && job != null) {
+      worker.hasImage(job.spec().image(), job.spec().imageGb(), types.cacheGb(worker.type()));
+    }
+  }
+
+  private void ended(Worker worker, Attempt a, String cause) {
+    LOG.info("ended {}: {}", a, cause);
+    Slice s = a.slice();
+    switch (cause) {
+      case "done" -> {
+        a.finished = true;
+        s.finish(a.task(), jobs.active(s.job()));
+        s.failures = 0;
+        worker.errors = 0;
+      }
+      case "error" -> failed(worker, s);
+      case "no_room", "busy" -> worker.restUntilMicros = nowMicros + 2_000_000;
+      case "no_such" -> s.restUntilMicros = nowMicros + 3_000_000;
+      default -> {}
+    }
+    close(a);
+  }
+
+  private void failed(Worker worker, Slice s) {
+    s.failures++;
+    s.restUntilMicros = nowMicros + Math.min(60_000_000L, 500_000L << Math.min(7, s.failures));
+    worker.errors++;
+    if (!worker.lastErrorJob.equals(s.job()) && worker.errors > 1) {
+      // Failures of more than one job in a row speak against the machine.
+      worker.errors += 1;
+    }
+    worker.lastErrorJob = s.job();
+    worker.restUntilMicros = nowMicros + Math.min(30_000_000L, 1_000_000L << worker.errors);
+  }
+
+  private void gone(Attempt a, String why) {
+    LOG.info("gone {}: {}", a, why);
+    close(a);
+  }
+
+  private void close(Attempt a) {
+    a.closed = true;
+    Slice s = a.slice();
+    Job job = jobs.active(s.job());
+    if (job != null && job.spec().shape() == Shape.GANG && !a.finished) {
+      for (Attempt other : s.out.values()) {
+        if (!other.closed && !other.killed()) {
+          kill(other, 0);
+        }
+      }
+    }
+    recorder.changed(s);
+    changed = true;
+  }
+
+  /** A machine was released or its lease has surely lapsed: nothing is on it any more. */
+  public void machineGone(String host, String why) {
+    Worker w = workers.get(host);
+    if (w == null) {
+      return;
+    }
+    for (Attempt a : List.copyOf(w.attempts().values())) {
+      if (!a.closed && a.committed && membership.owned().contains(a.slice().shard())) {
+        gone(a, why);
+      }
+    }
+  }
+
+  private void lapses(int shard) {
+    long lease = (long) (settings.workers().leaseMicros() * (1 + DRIFT)) + LAPSE_MARGIN_MICROS;
+    for (Slice s : List.copyOf(slices.of(shard))) {
+      for (Attempt a : List.copyOf(s.out.values())) {
+        if (a.closed || !a.committed) {
+          continue;
+        }
+        Worker w = workers.get(a.host());
+        if (w == null || w.stamp() == 0) {
+          // The key goes only after the cloud has confirmed the release.
+          gone(a, "machine released");
+          continue;
+        }
+        long since = Math.max(w.answeredMicros(), membership.sinceMicros(shard));
+        if (nowMicros - since > lease) {
+          gone(a, "lease lapsed");
+        }
+      }
+    }
+  }
+
+  /** Marks jobs done whose every task is done in committed records. */
+  private void finals() {
+    for (Job job : List.copyOf(jobs.active())) {
+      if (!membership.commitsFor(job.home()) || finishing.contains(job.id())) {
+        continue;
+      }
+      int done = 0;
+      for (Slice s : slices.of(job.id())) {
+        done += s.savedDone();
+      }
+      if (done < job.tasks()) {
+        continue;
+      }
+      finishing.add(job.id());
+      String key = Job.key(job.id());
+      recorder.add(
+          new Recorder.Extra(
+              job.home(),
+              Write.put(key, Job.over(Job.Phase.DONE, job.tasks())),
+              Map.of(key, job.stamp()),
+              ok -> {
+                finishing.remove(job.id());
+                if (ok) {
+                  LOG.info("job {} done", job.id());
+                }
+              }));
+    }
+  }
+
+  /** Done tasks and tasks handed out, for display. */
+  public int[] counts(Job job) {
+    int done = 0;
+    int running = 0;
+    for (Slice s : slices.of(job.id())) {
+      done += s.savedDone();
+      running += s.live();
+    }
+    return new int[] {done, running};
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/workers/Report.java
@@ -0,0 +1,84 @@
+package gladeknot.workers;
+
+import gladeknot.http.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** What a worker says of itself; {@code recallS} is below 0 where the machine stays. */
+public record Report(
+    String host,
+    String endpoint,
+    String type,
+    String zone,
+    boolean spot,
+    long tenure,
+    long tick,
+    long token,
+    double recallS,
+    List<Task> tasks) {
+
+  /** A task on the machine. */
+  public record Task(String name, long number, String phase, String cause, boolean stored) {
+    public boolean ended() {
+      return phase.equals("ended");
+    }
+  }
+
+  /** A report that breaks the form. */
+  public static final class Malformed extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Malformed(String message) {
+      super(message);
+    }
+  }
+
+  /** Reads a report. */
+  public static Report parse(Map<String, Object> m) throws Malformed {
+    List<Task> tasks = new ArrayList<>();
+    if (m.get("strands") != null && !(m.get("strands") instanceof List)) {
+      throw new Malformed("strands: must be a list");
+    }
+    for (Map<String, Object> t : Json.objects(m, "strands")) {
+      String name = text(t, "strand");
+      int slash = name.lastIndexOf('/');
+      if (slash < 1 || !name.substring(slash + 1).matches("[0-9]{1,6}")) {
+        throw new Malformed("strand: must be job/number");
+      }
+      tasks.add(
+          new Task(
+              name,
+              whole(t, "try"),
+              text(t, "phase"),
+              Json.text(t, "cause") == null ? "" : Json.text(t, "cause"),
+              Json.flag(t, "stored")));
+    }
+    return new Report(
+        text(m, "host"),
+        text(m, "endpoint"),
+        text(m, "hosttype"),
+        text(m, "glade"),
+        Json.flag(m, "loaners"),
+        whole(m, "tenure"),
+        whole(m, "tick"),
+        whole(m, "fence"),
+        Json.real(m, "recallS", -1),
+        tasks);
+  }
+
+  private static String text(Map<String, Object> m, String name) throws Malformed {
+    String value = Json.text(m, name);
+    if (value == null || value.isEmpty()) {
+      throw new Malformed(name + ": missing, or not a text");
+    }
+    return value;
+  }
+
+  private static long whole(Map<String, Object> m, String name) throws Malformed {
+    if (!(m.get(name) instanceof Number n) || n instanceof Double || n.longValue() < 0) {
+      throw new Malformed(name + ": must be a whole number");
+    }
+    return n.longValue();
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/workers/WorkerDesk.java
@@ -0,0 +1,99 @@
+package gladeknot.workers;
+
+import gladeknot.http.Json;
+import gladeknot.http.Outbox;
+import gladeknot.ledger.Ledger;
+import gladeknot.membership.Membership;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes the workers' reports and answers them. */
+public final class WorkerDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(WorkerDesk.class);
+
+  /** Brings what a report says together with what the slices say. */
+  public interface Sync {
+    /** The commands that follow from a report just taken in. */
+    List<Map<String, Object>> orders(Worker worker, Report report);
+
+    /** Makes an unexpected machine ours. */
+    void adopt(Report report);
+  }
+
+  private final Ledger ledger;
+  private final Membership membership;
+  private final WorkerBook workers;
+  private final Outbox outbox;
+  private final Sync sync;
+  private long nowMicros;
+
+  public WorkerDesk(
+      Ledger ledger, Membership membership, WorkerBook workers, Outbox outbox, Sync sync) {
+    this.ledger = ledger;
+    this.membership = membership;
+    this.workers = workers;
+    this.outbox = outbox;
+    this.sync = sync;
+  }
+
+  public void tick(long now) {
+    nowMicros = now;
+  }
+
+  /** POST /hello. */
+  public void hello(long request, byte[] body) {
+    Report report;
+    try {
+      report = Report.parse(Json.object(body));
+    } catch (IOException e) {
+      outbox.answer(request, 400, Json.of("error", "body: not a JSON object"));
+      return;
+    } catch (Report.Malformed e) {
+      outbox.answer(request, 400, Json.of("error", e.getMessage()));
+      return;
+    }
+    if (!ledger.loaded() || !membership.entitled()) {
+      outbox.comeBack(request, 503, "not entitled to answer workers", 1);
+      return;
+    }
+    Worker worker = workers.get(report.host());
+    if (worker == null || worker.stamp() == 0) {
+      // Not in the ledger: rented by a request whose answer was lost, or the copy is behind.
+      sync.adopt(report);
+      outbox.comeBack(request, 503, "unknown machine", 1);
+      return;
+    }
+    int shard = worker.shard();
+    if (!membership.actsFor(shard)) {
+      String owner = membership.liveOwner(shard);
+      if (owner == null) {
+        outbox.comeBack(request, 503, "its controller is changing", 1);
+      } else {
+        outbox.answer(request, 421, Json.of("foreman", owner));
+      }
+      return;
+    }
+    long term = membership.term(shard);
+    if (report.token() > term) {
+      LOG.info("worker {} has seen token {} above term {}", report.host(), report.token(), term);
+      membership.raise(shard);
+      outbox.comeBack(request, 503, "its controller's term is being raised", 1);
+      return;
+    }
+    Report last = worker.report();
+    if (last != null
+        && (report.tenure() < last.tenure()
+            || (report.tenure() == last.tenure() && report.tick() <= last.tick()))) {
+      // A late copy: the worker has gone on, what this says is over.
+      outbox.comeBack(request, 503, "older than a report already taken", 1);
+      return;
+    }
+    worker.report(report, nowMicros);
+    List<Map<String, Object>> orders = sync.orders(worker, report);
+    worker.answered(nowMicros);
+    outbox.answer(request, 200, Json.of("fence", term, "orders", orders));
+  }
+}
