--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -185,6 +185,7 @@
       }
     }
     rent();
+    lend();
     if (now >= nextPlanMicros) {
       nextPlanMicros = now + PLAN_MICROS;
       plan();
@@ -243,18 +244,25 @@
       long run = placer.estimates().runMicros(spec);
       int mine = need.ours() ? need.count() : 0;
       Map<String, Integer> inZone = new HashMap<>(need.inZone());
+      // A gang needs all its room in one shard, and in one zone if its tasks stay together.
+      int only = spec.shape() == JobSpec.Shape.GANG && need.count() > 1 ? need.shard() : -1;
+      if (only >= 0 && spec.together() && inZone.isEmpty()) {
+        long by = nowMicros + PATIENCE_MICROS;
+        inZone.put(forecast.roomiest(spec, only, by, zonesOffered()), 0);
+      }
       for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
         looked++;
-        Forecast.Slot slot = forecast.best(spec, inZone);
+        Forecast.Slot slot = forecast.best(spec, inZone, only);
         long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
         if (i < mine) {
           long latest = latestStart(need.job(), run, at);
+          LOG.debug("forecast {}: starts at {}, wanted by {}", spec.id(), at, latest);
           if (at > latest) {
             Offer offer = choose(spec, inZone, need.count() - i, wanted, latest, at);
             if (offer != null) {
               shard = need.shard();
               wanted.merge(offer, 1, Integer::sum);
-              slot = slot(offer, nowMicros + offer.type.readyMicros(), List.of());
+              slot = slot(offer, shard, nowMicros + offer.type.readyMicros());
               forecast.add(slot);
             }
           }
@@ -262,7 +270,8 @@
         if (slot == null) {
           break;
         }
-        forecast.put(slot, spec, run);
+        // A gang's tasks run side by side: none of them waits for another's end.
+        forecast.put(slot, spec, only >= 0 ? Forecast.NEVER : run);
         inZone.merge(slot.zone, 1, Integer::sum);
       }
     }
@@ -373,8 +382,44 @@
     }
   }
 
-  private static Forecast.Slot slot(Offer offer, long from, List<String> images) {
-    return new Forecast.Slot(offer.type, offer.zone, offer.spot, from, images);
+  /**
+   * Gives an empty worker to a shard whose gang waits for it. The worker has seen our term; its new
+   * owner raises its own above it before it answers.
+   */
+  private void lend() {
+    for (Placer.Need need : placer.queue().waiting()) {
+      JobSpec spec = need.job().spec();
+      if (need.ours() || spec.shape() != JobSpec.Shape.GANG || need.count() < 2) {
+        continue;
+      }
+      for (Worker w : workers.all()) {
+        boolean free =
+            membership.commitsFor(w.shard())
+                && placer.usable(w)
+                && w.attempts().isEmpty()
+                && w.report().tasks().isEmpty();
+        if (!free
+            || !spec.allows(w.type(), w.zone(), w.spot())
+            || types.get(w.type()).fits(spec) == 0) {
+          continue;
+        }
+        LOG.info(
+            "lend {} of shard {} to shard {} for {}", w.host(), w.shard(), need.shard(), spec.id());
+        w.releasing = true;
+        String key = Worker.key(w.host());
+        recorder.add(
+            new Recorder.Extra(
+                w.shard(),
+                Write.put(key, w.record(need.shard(), false)),
+                Map.of(key, w.stamp()),
+                done -> w.releasing = false));
+        return;
+      }
+    }
+  }
+
+  private static Forecast.Slot slot(Offer offer, int shard, long from) {
+    return new Forecast.Slot(offer.type, offer.zone, offer.spot, shard, from, List.of());
   }
 
   /** The machines of all shards, as far as the followed copy and the reports tell. */
@@ -400,7 +445,7 @@
         from = nowMicros + Math.max(ours ? 1_000_000 : 0, type.readyMicros() - age);
       }
       Forecast.Slot slot =
-          new Forecast.Slot(type, w.zone(), w.spot(), from, List.copyOf(w.images()));
+          new Forecast.Slot(type, w.zone(), w.spot(), w.shard(), from, List.copyOf(w.images()));
       for (Attempt a : w.attempts().values()) {
         if (!a.closed()) {
           Slice s = a.slice();
@@ -412,7 +457,7 @@
     }
     for (Rental r : rentals) {
       for (int i = 0; i < r.number; i++) {
-        forecast.add(slot(r.offer, nowMicros + r.offer.type.readyMicros(), List.of()));
+        forecast.add(slot(r.offer, r.shard, nowMicros + r.offer.type.readyMicros()));
       }
     }
     return forecast;
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -17,14 +17,22 @@
     final MachineType type;
     final String zone;
     final boolean spot;
+    final int shard;
     final List<String> images;
     private final List<long[]> events = new ArrayList<>();
 
     /** A machine that is empty from a time on. */
-    Slot(MachineType type, String zone, boolean spot, long fromMicros, List<String> images) {
+    Slot(
+        MachineType type,
+        String zone,
+        boolean spot,
+        int shard,
+        long fromMicros,
+        List<String> images) {
       this.type = type;
       this.zone = zone;
       this.spot = spot;
+      this.shard = shard;
       this.images = images;
       add(fromMicros, type.cpus(), type.gpus(), type.memory());
     }
@@ -66,6 +74,24 @@
       return NEVER;
     }
 
+    private long roomBy(JobSpec spec, long byMicros) {
+      if (!spec.allows(type.name(), zone, spot)) {
+        return 0;
+      }
+      long c = 0;
+      long g = 0;
+      long m = 0;
+      for (long[] e : events) {
+        if (e[0] <= byMicros) {
+          c += e[1];
+          g += e[2];
+          m += e[3];
+        }
+      }
+      long n = Math.min(c / spec.cpus(), m / spec.memory());
+      return Math.max(0, spec.gpus() > 0 ? Math.min(n, g / spec.gpus()) : n);
+    }
+
     long fetchMicros(JobSpec spec) {
       return images.contains(spec.image()) ? 0 : (long) (spec.imageGb() / type.fetchGbPerS() * 1e6);
     }
@@ -101,10 +127,15 @@
 
   /** Where a task would finish first; null if nowhere. */
   Slot best(JobSpec spec, Map<String, Integer> inZone) {
+    return best(spec, inZone, -1);
+  }
+
+  /** The same on one shard's machines alone, as a gang needs them; -1: on all. */
+  Slot best(JobSpec spec, Map<String, Integer> inZone, int shard) {
     Slot best = null;
     long bestAt = NEVER;
     for (Slot slot : slots) {
-      if (!spec.zoneOpen(slot.zone, inZone)) {
+      if (!spec.zoneOpen(slot.zone, inZone) || (shard >= 0 && slot.shard != shard)) {
         continue;
       }
       long at = slot.earliest(spec);
@@ -116,6 +147,25 @@
     return best;
   }
 
+  /** The zone in which a shard has most room for a job's tasks by a time. */
+  String roomiest(JobSpec spec, int shard, long byMicros, List<String> zones) {
+    String best = null;
+    long most = -1;
+    for (String zone : zones) {
+      long room = 0;
+      for (Slot slot : slots) {
+        if (slot.shard == shard && slot.zone.equals(zone)) {
+          room += slot.roomBy(spec, byMicros);
+        }
+      }
+      if (room > most) {
+        best = zone;
+        most = room;
+      }
+    }
+    return best;
+  }
+
   /** Puts a task on a machine and returns when it would be running. */
   long put(Slot slot, JobSpec spec, long runMicros) {
     long at = slot.earliest(spec);
--- a/src/main/java/gladeknot/jobs/JobsDesk.java
+++ b/src/main/java/gladeknot/jobs/JobsDesk.java
@@ -88,7 +88,10 @@
       return;
     }
     if (!around.fitsSomeType(spec)) {
-      outbox.answer(request, 422, Json.of("error", "hosttypes: a task fits no allowed type"));
+      outbox.answer(
+          request,
+          422,
+          Json.of("error", "cores, accelerators, memoryGb: a task fits no allowed type"));
       return;
     }
     if (Json.bytes(Job.accepted(spec, 0, 0)).length + 64 > settings.stateLimits().valueBytes()) {
--- /dev/null
+++ b/src/test/java/gladeknot/app/RequestsTest.java
@@ -0,0 +1,128 @@
+package gladeknot.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.http.Json;
+import gladeknot.standin.World;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What can't be taken is refused with the right status and the name of the field. */
+class RequestsTest {
+  private static World world() {
+    World w = new World(3, 30);
+    w.run(3 * World.SECOND);
+    return w;
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "id, 'job-1', 400",
+    "id, 'req-', 400",
+    "id, 'req-a b', 400",
+    "strands, 0, 400",
+    "strands, 100001, 400",
+    "strands, 1.5, 400",
+    "cores, 0, 400",
+    "cores, -1.0, 400",
+    "cores, 'x', 400",
+    "accelerators, -1, 400",
+    "memoryGb, 0.0, 400",
+    "shape, 'ring', 400",
+    "rank, 'boss', 400",
+    "owner, 3, 400",
+    "hosttypes, 'small', 400",
+    "together, 1, 400",
+    "guessS, -1, 400",
+    "dueS, 'soon', 400",
+    "owner, 'nobody', 422",
+    "cores, 25.0, 422",
+    "cores, 5.0, 422",
+    "memoryGb, 17.0, 422",
+    "cores, 3.0, 201",
+  })
+  void submissions(String field, String value, int status) {
+    Map<String, Object> job = new HashMap<>(World.job("req-1", "array", 2));
+    Object typed = value;
+    if (value.matches("-?[0-9]+")) {
+      typed = Integer.parseInt(value);
+    } else if (value.matches("-?[0-9.]+")) {
+      typed = Double.parseDouble(value);
+    }
+    job.put(field, typed);
+    World w = world();
+    int[] got = {0};
+    String[] body = {""};
+    w.ask(
+        0,
+        "POST",
+        "/work",
+        job,
+        a -> {
+          got[0] = a.status();
+          body[0] = new String(a.body(), StandardCharsets.UTF_8);
+        });
+    w.run(World.SECOND);
+    assertEquals(status, got[0], body[0]);
+    assertTrue(status == 201 || body[0].contains(field), body[0]);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "GET, /healthz, 200",
+    "POST, /healthz, 405",
+    "GET, /work, 405",
+    "PUT, /work/req-1, 405",
+    "GET, /work/req-1/abort, 405",
+    "GET, /work/req-1, 404",
+    "POST, /work/req-1/abort, 404",
+    "GET, /work/nonsense, 404",
+    "GET, /elsewhere, 404",
+    "POST, /work, 400",
+    "POST, /hello, 400",
+  })
+  void paths(String method, String path, int status) {
+    World w = world();
+    int[] got = {0};
+    w.ask(0, method, path, List.of(), a -> got[0] = a.status());
+    w.run(World.SECOND);
+    assertEquals(status, got[0]);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"host", "tenure", "tick", "fence", "endpoint"})
+  void reportsWithoutAField(String field) {
+    World w = world();
+    Map<String, Object> report =
+        Json.of(
+            "host",
+            "vm-1",
+            "endpoint",
+            "vm-1:9",
+            "hosttype",
+            "small",
+            "glade",
+            "a",
+            "loaners",
+            false,
+            "tenure",
+            1,
+            "tick",
+            1,
+            "fence",
+            0,
+            "strands",
+            List.of());
+    report.remove(field);
+    int[] got = {0};
+    w.ask(0, "POST", "/hello", report, a -> got[0] = a.status());
+    w.run(World.SECOND);
+    assertEquals(400, got[0]);
+    assertEquals(List.of(), w.state.keys("g/w/"));
+  }
+}
--- /dev/null
+++ b/src/test/java/gladeknot/app/WorldTest.java
@@ -0,0 +1,224 @@
+package gladeknot.app;
+
+import static gladeknot.standin.World.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.standin.World;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/** Three controllers with all around them, under faults: the rules hold and the work gets done. */
+class WorldTest {
+  private record Case(String name, long seed, Consumer<World> faults) {}
+
+  private static final List<Case> CASES =
+      List.of(
+          new Case("nothing happens", 1, w -> w.run(20 * SECOND)),
+          new Case(
+              "a controller ends and comes back soon",
+              2,
+              w -> {
+                w.kill(0);
+                w.run(3 * SECOND);
+                w.start(0);
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "a controller ends and stays away: its shard is taken over",
+              3,
+              w -> {
+                w.kill(1);
+                w.run(40 * SECOND);
+              }),
+          new Case(
+              "a controller comes back after its shard was taken over",
+              4,
+              w -> {
+                w.kill(1);
+                w.run(30 * SECOND);
+                w.start(1);
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "all end at once and are back within a fraction of a second",
+              5,
+              w -> {
+                for (int i = 0; i < 3; i++) {
+                  w.kill(i);
+                }
+                w.run(300_000);
+                for (int i = 0; i < 3; i++) {
+                  w.start(i);
+                }
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "one after the other is restarted",
+              6,
+              w -> {
+                for (int i = 0; i < 3; i++) {
+                  w.kill(i);
+                  w.run(2 * SECOND);
+                  w.start(i);
+                  w.run(5 * SECOND);
+                }
+              }),
+          new Case(
+              "an owner sleeps past its lease and goes on",
+              7,
+              w -> {
+                w.pause(2, true);
+                w.run(25 * SECOND);
+                w.pause(2, false);
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "a controller loses the state service alone",
+              8,
+              w -> {
+                w.cutFromState(0, true);
+                w.run(30 * SECOND);
+                w.cutFromState(0, false);
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "a controller loses the workers alone",
+              9,
+              w -> {
+                w.cutFromWorkers(0, true);
+                w.run(40 * SECOND);
+                w.cutFromWorkers(0, false);
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "the state service is away for longer than the leases",
+              10,
+              w -> {
+                w.outage(true);
+                w.run(30 * SECOND);
+                w.outage(false);
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "commits get no answer and were carried out",
+              11,
+              w -> {
+                w.loseAnswers = 3;
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "commits get no answer and are carried out late",
+              12,
+              w -> {
+                w.applyLate = 6 * SECOND;
+                w.loseAnswers = 4;
+                w.run(30 * SECOND);
+              }),
+          new Case(
+              "machines end with all that is on them",
+              13,
+              w -> {
+                w.killMachine(0);
+                w.killMachine(2);
+                w.run(30 * SECOND);
+              }),
+          new Case(
+              "a controller ends during an outage of the state service",
+              14,
+              w -> {
+                w.outage(true);
+                w.run(5 * SECOND);
+                w.kill(0);
+                w.run(2 * SECOND);
+                w.start(0);
+                w.run(5 * SECOND);
+                w.outage(false);
+                w.run(25 * SECOND);
+              }));
+
+  @TestFactory
+  Stream<DynamicTest> rulesHoldAndWorkGetsDone() {
+    return CASES.stream().map(c -> DynamicTest.dynamicTest(c.name(), () -> play(c)));
+  }
+
+  private static void play(Case c) {
+    World w = new World(3, c.seed());
+    w.run(3 * SECOND);
+    w.submit(0, World.job("req-array", "array", 40));
+    w.submit(1, World.job("req-gang", "ensemble", 3));
+    w.submit(2, World.job("req-web", "service", 4));
+    w.submit(1, World.job("req-gone", "service", 2));
+    w.run(12 * SECOND);
+    w.abort(2, "req-gone");
+    c.faults().accept(w);
+    for (int i = 0; i < 60; i++) {
+      w.poll(i % 3, "req-array");
+      w.poll(i % 3, "req-gang");
+      w.poll(i % 3, "req-web");
+      w.poll(i % 3, "req-gone");
+      w.poll(i % 3, "req-nobody");
+      w.run(SECOND);
+    }
+    assertEquals(List.of(), w.broken());
+    assertEquals("done", w.phase("req-array"));
+    assertEquals("done", w.phase("req-gang"));
+    assertEquals("withdrawn", w.phase("req-gone"));
+    assertEquals("running", w.phase("req-web"));
+    assertEquals(java.util.Map.of("a", 2, "b", 2), w.zones("req-web"));
+  }
+
+  @Test
+  void aRepeatedSubmissionIsTheSameJobForGood() {
+    World w = new World(3, 20);
+    w.run(3 * SECOND);
+    w.submit(0, World.job("req-once", "array", 3));
+    w.run(30 * SECOND);
+    w.poll(1, "req-once");
+    w.run(SECOND);
+    assertEquals("done", w.phase("req-once"));
+    int[] status = {0};
+    w.ask(2, "POST", "/work", World.job("req-once", "array", 3), a -> status[0] = a.status());
+    w.run(SECOND);
+    assertEquals(200, status[0]);
+    assertEquals(List.of(), w.broken());
+  }
+
+  @Test
+  void aHundredThousandTasksAreTakenInAndStartedInOrder() {
+    World w = new World(3, 21);
+    w.run(3 * SECOND);
+    w.submit(0, World.job("req-many", "array", 100_000));
+    w.run(30 * SECOND);
+    w.poll(1, "req-many");
+    w.run(SECOND);
+    assertEquals("running", w.phase("req-many"));
+    assertEquals(List.of(), w.broken());
+    for (String key : w.state.keys("g/sl/")) {
+      int size = gladeknot.http.Json.bytes(w.state.get(key)).length;
+      assertTrue(size < 8192, key + " has " + size);
+    }
+  }
+
+  @Test
+  void rentalNamesAreNotUsedAgainAfterRestarts() {
+    World w = new World(3, 22);
+    w.run(3 * SECOND);
+    w.submit(0, World.job("req-one", "array", 8));
+    w.run(5 * SECOND);
+    int before = w.cloud.rentals();
+    for (int i = 0; i < 3; i++) {
+      w.kill(i);
+      w.start(i);
+    }
+    w.submit(1, World.job("req-two", "service", 4));
+    w.run(30 * SECOND);
+    // A name used again would have brought the old machines and counted once.
+    assertTrue(before > 0 && w.cloud.rentals() > before);
+    assertEquals(List.of(), w.broken());
+  }
+}
--- /dev/null
+++ b/src/test/java/gladeknot/fleet/ForecastTest.java
@@ -0,0 +1,54 @@
+package gladeknot.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import gladeknot.jobs.JobSpec;
+import gladeknot.standin.World;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class ForecastTest {
+  private static final MachineType TYPE =
+      new MachineType("small", 2000, 0, 16_000, 40, 0.5, 0.2, 0.1, 10_000_000, List.of("a"));
+
+  private static JobSpec spec(String shape) throws JobSpec.Malformed {
+    return JobSpec.parse(World.job("req-1", shape, 4));
+  }
+
+  @Test
+  void tasksQueueForTheRoomThatRunningOnesLeave() throws JobSpec.Malformed {
+    Forecast forecast = new Forecast();
+    JobSpec spec = spec("array");
+    Forecast.Slot slot = new Forecast.Slot(TYPE, "a", true, 0, 0, List.of("img"));
+    forecast.add(slot);
+    forecast.running(JobSpec.Rank.NORMAL, slot, 0, 5_000_000, 1000, 0, 1000);
+    forecast.admit(JobSpec.Rank.NORMAL);
+    long[] expected = {0, 5_000_000, 6_000_000, 11_000_000};
+    for (long at : expected) {
+      assertEquals(at, forecast.put(forecast.best(spec, Map.of()), spec, 6_000_000));
+    }
+  }
+
+  @Test
+  void whatMayBeStoppedIsNoHindrance() throws JobSpec.Malformed {
+    Forecast forecast = new Forecast();
+    JobSpec web = spec("service");
+    Forecast.Slot slot = new Forecast.Slot(TYPE, "a", false, 0, 0, List.of("img"));
+    forecast.add(slot);
+    forecast.running(JobSpec.Rank.NORMAL, slot, 0, 50_000_000, 2000, 0, 2000);
+    forecast.admit(JobSpec.Rank.PROD);
+    assertEquals(0, slot.earliest(web));
+    forecast.admit(JobSpec.Rank.NORMAL);
+    assertEquals(50_000_000, slot.earliest(web));
+  }
+
+  @Test
+  void spreadReplicasNeedAnotherZone() throws JobSpec.Malformed {
+    Forecast forecast = new Forecast();
+    forecast.add(new Forecast.Slot(TYPE, "a", false, 0, 0, List.of()));
+    // Four replicas: two to a zone at most.
+    assertNull(forecast.best(spec("service"), Map.of("a", 2)));
+  }
+}
--- /dev/null
+++ b/src/test/java/gladeknot/ledger/TokensTest.java
@@ -0,0 +1,33 @@
+package gladeknot.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+class TokensTest {
+  @Test
+  void neverMoreThanTheRateAndOneBurst() {
+    Tokens tokens = new Tokens(10, 10);
+    int taken = 0;
+    for (long now = 0; now <= 5_000_000; now += 10_000) {
+      while (tokens.take(1, 0, now)) {
+        taken++;
+      }
+    }
+    // Rounding may leave the last one a step behind.
+    assertEquals(60, taken, 1);
+  }
+
+  @Test
+  void whatIsKeptForUrgentCallsStays() {
+    Tokens tokens = new Tokens(10, 10);
+    int taken = 0;
+    while (tokens.take(1, 4, 0)) {
+      taken++;
+    }
+    assertEquals(6, taken);
+    tokens.force(1, 0);
+    assertEquals(false, tokens.take(4, 0, 0));
+    assertEquals(true, tokens.take(3, 0, 0));
+  }
+}
--- /dev/null
+++ b/src/test/java/gladeknot/settings/SettingsReaderTest.java
@@ -0,0 +1,97 @@
+package gladeknot.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SettingsReaderTest {
+  private static final String GOOD =
+      """
+      node_name = "n0"
+      domain = "a"
+      client_listen = "127.0.0.1:80"
+      back = "127.0.0.1:81"
+      some_new_field = 3
+      [[members]]
+      node_name = "n1"
+      domain = "b"
+      addr = "127.0.0.1:82"
+      [external]
+      cloud = "127.0.0.1:83"
+      state = "127.0.0.1:84"
+      [cluster]
+      zones = ["a", "b"]
+      clock_error_ms = 100.0
+      [[cluster.teams]]
+      name = "dev"
+      cpus = 8.0
+      cpus_max = 24.0
+      gpus = 0.0
+      gpus_max = 0.0
+      [[cluster.objectives]]
+      kind = "wait"
+      class = "web"
+      within_s = 5.0
+      share = 0.9
+      [cluster.workers]
+      report_s = 2.0
+      lease_s = 14.0
+      gang_wait_s = 30.0
+      gang_peer_s = 6.0
+      cancel_s = 39.0
+      [cluster.state]
+      rps = 120.0
+      write_rps = 25.0
+      value_kb = 8.0
+      txn_ops = 20
+      [cluster.cloud]
+      rps = 5.0
+      list_lag_s = 8.0
+      """;
+
+  @TempDir Path dir;
+
+  private SettingsReader.Result read(String text) throws IOException {
+    Path file = dir.resolve("s.toml");
+    Files.writeString(file, text);
+    return SettingsReader.read(file);
+  }
+
+  @Test
+  void aGoodFileIsReadInMicrosecondsAndThousandths() throws IOException {
+    SettingsReader.Result result = read(GOOD);
+    assertEquals(List.of(), result.faults());
+    Settings s = result.settings();
+    assertEquals(14_000_000, s.workers().leaseMicros());
+    assertEquals(24_000, s.teams().get("dev").cpusMax());
+    assertEquals(List.of("n0", "n1"), s.nodes());
+    long lease = s.stateLeaseMicros() + s.workers().leaseMicros();
+    assertTrue(lease + 3_000_000 < s.workers().cancelMicros());
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'node_name = \"n0\"', '', node_name",
+    "'client_listen = \"127.0.0.1:80\"', 'client_listen = \"here\"', client_listen",
+    "'node_name = \"n1\"', 'node_name = \"n0\"', 'members[0].node_name'",
+    "'rps = 120.0', 'rps = 0', cluster.state.rps",
+    "'write_rps = 25.0', 'write_rps = \"x\"', cluster.state.write_rps",
+    "'cancel_s = 39.0', 'cancel_s = 15.0', cluster.workers.cancel_s",
+    "'cpus_max = 24.0', 'cpus_max = -1', 'cluster.teams[0].cpus_max'",
+    "'[external]', '[internal]', external",
+    "'[cluster]', '[[cluster', 'not TOML'",
+  })
+  void eachFaultNamesItsField(String from, String to, String field) throws IOException {
+    SettingsReader.Result result = read(GOOD.replace(from, to));
+    assertTrue(
+        result.faults().stream().anyMatch(f -> f.startsWith(field + ":")), () -> "" + result);
+  }
+}
--- a/src/test/java/gladeknot/standin/WorkerStandIn.java
+++ b/src/test/java/gladeknot/standin/WorkerStandIn.java
@@ -28,6 +28,7 @@
   private final long leaseMicros;
   private final ToLongFunction<String> runMicros;
   private final Map<String, Task> tasks = new LinkedHashMap<>();
+  private final List<String> finished = new ArrayList<>();
   private long tenure = 1;
   private long tick;
   private long token;
@@ -75,10 +76,18 @@
       if (t.phase.equals("running") && now >= t.endsMicros) {
         t.phase = "ended";
         t.cause = "done";
+        finished.add(t.name);
       }
     }
   }
 
+  /** Tasks that have completed here since it was asked last. */
+  public List<String> finished() {
+    List<String> taken = List.copyOf(finished);
+    finished.clear();
+    return taken;
+  }
+
   /** Its next report. */
   public Map<String, Object> report() {
     tick++;
--- /dev/null
+++ b/src/test/java/gladeknot/standin/World.java
@@ -0,0 +1,595 @@
+package gladeknot.standin;
+
+import gladeknot.app.Core;
+import gladeknot.http.Json;
+import gladeknot.http.Outbox;
+import gladeknot.peer.Hint;
+import gladeknot.settings.Settings;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * Controllers, state service, cloud and workers in one thread under simulated time, with faults on
+ * command. Every step checks the rules that the protocol's last page lists.
+ */
+public final class World {
+  public static final long SECOND = 1_000_000;
+  private static final long STEP = 10_000;
+  private static final long REPORT = SECOND;
+  public static final long LEASE = 8 * SECOND;
+  public static final long CANCEL = 25 * SECOND;
+  public static final long TEAM_CPUS = 24_000;
+
+  private record Event(long at, long order, Runnable run) {}
+
+  private static final class Node {
+    Core core;
+    boolean up;
+    boolean paused;
+    boolean cutFromState;
+    boolean cutFromWorkers;
+    long life;
+    final Map<Long, java.util.function.Consumer<Outbox.Answer>> asked = new HashMap<>();
+    long nextRequest = 1;
+  }
+
+  private static final class Machine {
+    WorkerStandIn worker;
+    int node;
+    long nextReport;
+    boolean dead;
+    boolean waiting;
+  }
+
+  /** A job as its user knows it. */
+  private static final class Known {
+    int tasks;
+    boolean gang;
+    long withdrawnAt = -1;
+    String last = "";
+    final Set<Integer> done = new HashSet<>();
+  }
+
+  public final StateStandIn state = new StateStandIn();
+  public final CloudStandIn cloud = new CloudStandIn(12, 3 * SECOND);
+  private final List<Node> nodes = new ArrayList<>();
+  private final Map<String, Machine> machines = new TreeMap<>();
+  private final Map<String, Known> known = new TreeMap<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          java.util.Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final Set<String> broken = new java.util.TreeSet<>();
+  private final SplittableRandom random;
+  private long now = 100 * SECOND;
+  private long order;
+  private boolean outage;
+
+  /** Commits whose answer is to be lost, and how much later they are to be applied. */
+  public int loseAnswers;
+
+  public long applyLate;
+
+  public World(int count, long seed) {
+    random = new SplittableRandom(seed);
+    for (int i = 0; i < count; i++) {
+      nodes.add(new Node());
+      start(i);
+    }
+  }
+
+  private static Settings settings(int node, int count) {
+    List<Settings.Member> members = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      if (i != node) {
+        members.add(new Settings.Member("node-" + i, "a", "10.0.0." + i + ":1"));
+      }
+    }
+    return new Settings(
+        "node-" + node,
+        "a",
+        "10.0.0." + node + ":80",
+        "10.0.0." + node + ":1",
+        members,
+        "cloud:1",
+        "state:1",
+        List.of("a", "b"),
+        0,
+        Map.of("dev", new Settings.Team("dev", 8_000, TEAM_CPUS, 0, 0)),
+        List.of(new Settings.Objective("deadline", "batch", 0, 0.9, 1)),
+        new Settings.Workers(REPORT, LEASE, 30 * SECOND, 5 * SECOND, CANCEL),
+        new Settings.StateLimits(300, 150, 8192, 16),
+        new Settings.CloudLimits(20, 3 * SECOND),
+        500);
+  }
+
+  public void start(int i) {
+    Node n = nodes.get(i);
+    n.core = new Core(settings(i, nodes.size() < 3 ? 3 : nodes.size()), random.split());
+    n.up = true;
+    n.paused = false;
+    n.life++;
+    n.asked.clear();
+  }
+
+  public void kill(int i) {
+    nodes.get(i).up = false;
+    nodes.get(i).life++;
+  }
+
+  public void pause(int i, boolean paused) {
+    nodes.get(i).paused = paused;
+  }
+
+  public void cutFromState(int i, boolean cut) {
+    nodes.get(i).cutFromState = cut;
+  }
+
+  public void cutFromWorkers(int i, boolean cut) {
+    nodes.get(i).cutFromWorkers = cut;
+  }
+
+  public void outage(boolean on) {
+    outage = on;
+    if (!on) {
+      state.renewAll();
+    }
+  }
+
+  /** Ends a machine with all that is on it. */
+  public void killMachine(int nth) {
+    List<Machine> all = machines.values().stream().filter(m -> !m.dead).toList();
+    if (nth < all.size()) {
+      all.get(nth).dead = true;
+    }
+  }
+
+  public long now() {
+    return now;
+  }
+
+  public List<String> broken() {
+    return List.copyOf(broken);
+  }
+
+  private void later(long micros, Runnable run) {
+    events.add(new Event(now + micros, order++, run));
+  }
+
+  public void run(long micros) {
+    long until = now + micros;
+    while (now < until) {
+      now += STEP;
+      if (!outage) {
+        state.advance(now);
+      }
+      cloud.advance(now);
+      while (!events.isEmpty() && events.peek().at() <= now) {
+        events.poll().run().run();
+      }
+      for (int i = 0; i < nodes.size(); i++) {
+        Node n = nodes.get(i);
+        if (n.up && !n.paused) {
+          n.core.tick(now, now);
+          drain(i);
+        }
+      }
+      machines();
+      check();
+    }
+  }
+
+  private void drain(int i) {
+    Node n = nodes.get(i);
+    for (Outbox.Call call : n.core.outbox().takeCalls()) {
+      send(i, call);
+    }
+    for (Hint hint : n.core.outbox().takeHints()) {
+      for (Node other : nodes) {
+        if (other != n) {
+          later(
+              2_000,
+              () -> {
+                if (other.up && !other.paused) {
+                  other.core.hint(hint);
+                }
+              });
+        }
+      }
+    }
+    for (Outbox.Answer answer : n.core.outbox().takeAnswers()) {
+      var then = n.asked.remove(answer.request());
+      if (then != null) {
+        then.accept(answer);
+      }
+    }
+  }
+
+  private void send(int i, Outbox.Call call) {
+    Node n = nodes.get(i);
+    long life = n.life;
+    boolean toState = call.address().startsWith("state");
+    if (toState && n.cutFromState) {
+      later(call.timeoutMicros(), () -> reply(i, life, call, null));
+      return;
+    }
+    if (toState && call.path().startsWith("/follow")) {
+      follow(i, life, call, now + call.timeoutMicros() - 4 * SECOND);
+      return;
+    }
+    boolean commit = call.path().equals("/commit");
+    long delay = 2_000 + random.nextInt(15_000);
+    if (commit && loseAnswers > 0) {
+      loseAnswers--;
+      later(delay + applyLate, () -> serve(call));
+      later(call.timeoutMicros(), () -> reply(i, life, call, null));
+      return;
+    }
+    later(
+        delay,
+        () -> {
+          StateStandIn.Answer answer = serve(call);
+          later(2_000, () -> reply(i, life, call, answer));
+        });
+  }
+
+  private void follow(int i, long life, Outbox.Call call, long until) {
+    long from = Long.parseLong(StateStandIn.query(call.path()).get("from"));
+    boolean reachable = !outage && !nodes.get(i).cutFromState;
+    if (reachable && (state.changedSince(from) || now >= until)) {
+      StateStandIn.Answer answer = serve(call);
+      later(3_000, () -> reply(i, life, call, answer));
+    } else if (now >= until + 4 * SECOND) {
+      reply(i, life, call, null);
+    } else {
+      later(STEP, () -> follow(i, life, call, until));
+    }
+  }
+
+  private StateStandIn.Answer serve(Outbox.Call call) {
+    try {
+      if (call.address().startsWith("state")) {
+        return outage
+            ? new StateStandIn.Answer(503, Json.of())
+            : state.serve(call.method(), call.path(), call.body());
+      }
+      if (call.address().startsWith("cloud")) {
+        return cloud.serve(call.method(), call.path(), call.body());
+      }
+      Machine m = machines.get(call.address().split(":")[0]);
+      return m == null || m.dead ? null : m.worker.orders(Json.object(call.body()));
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void reply(int i, long life, Outbox.Call call, StateStandIn.Answer answer) {
+    Node n = nodes.get(i);
+    if (n.life != life || !n.up) {
+      return;
+    }
+    if (n.paused) {
+      later(STEP, () -> reply(i, life, call, answer));
+      return;
+    }
+    n.core.tick(now, now);
+    n.core
+        .outbox()
+        .reply(
+            call.id(),
+            answer == null
+                ? new Outbox.Reply(0, new byte[0])
+                : new Outbox.Reply(answer.status(), Json.bytes(answer.body())));
+    drain(i);
+  }
+
+  /** Sends a request to a controller; no answer comes from one that is down. */
+  public void ask(
+      int i,
+      String method,
+      String path,
+      Object body,
+      java.util.function.Consumer<Outbox.Answer> then) {
+    Node n = nodes.get(i);
+    if (!n.up || n.paused) {
+      return;
+    }
+    long id = n.nextRequest++;
+    n.asked.put(id, then);
+    n.core.tick(now, now);
+    n.core.request(id, method, path, body == null ? new byte[0] : Json.bytes(body));
+    drain(i);
+  }
+
+  private void machines() {
+    for (CloudStandIn.Machine m : cloud.machines()) {
+      if (m.upMicros <= now && !machines.containsKey(m.id)) {
+        Machine machine = new Machine();
+        machine.worker = new WorkerStandIn(m, m.id + ":9", LEASE, World::runMicros, now);
+        machine.node = random.nextInt(nodes.size());
+        machines.put(m.id, machine);
+      }
+    }
+    Set<String> rented = new HashSet<>();
+    cloud.machines().forEach(m -> rented.add(m.id));
+    machines.keySet().retainAll(rented);
+    for (Machine m : machines.values()) {
+      if (m.dead) {
+        continue;
+      }
+      m.worker.advance(now);
+      if (now >= m.nextReport && !m.waiting) {
+        m.nextReport = now + REPORT;
+        report(m);
+      }
+    }
+  }
+
+  private void report(Machine m) {
+    long sent = now;
+    long tenure = m.worker.tenure();
+    Map<String, Object> report = m.worker.report();
+    Node n = nodes.get(m.node);
+    m.waiting = true;
+    boolean[] over = {false};
+    later(
+        4 * SECOND,
+        () -> {
+          if (!over[0]) {
+            over[0] = true;
+            m.waiting = false;
+            next(m);
+          }
+        });
+    if (!n.up || n.cutFromWorkers) {
+      if (!n.up) {
+        over[0] = true;
+        m.waiting = false;
+        next(m);
+      }
+      return;
+    }
+    later(
+        1_000,
+        () ->
+            ask(
+                m.node,
+                "POST",
+                "/hello",
+                report,
+                answer -> {
+                  if (!over[0]) {
+                    over[0] = true;
+                    m.waiting = false;
+                    answered(m, answer, sent, tenure);
+                  }
+                }));
+  }
+
+  private void next(Machine m) {
+    m.node = (m.node + 1) % nodes.size();
+    m.nextReport = now + SECOND;
+  }
+
+  private void answered(Machine m, Outbox.Answer answer, long sent, long tenure) {
+    try {
+      Map<String, Object> body = Json.object(answer.body());
+      if (answer.status() == 200) {
+        if (!m.dead) {
+          m.worker.answered(body, sent, tenure);
+        }
+      } else if (answer.status() == 421 && Json.text(body, "foreman") != null) {
+        int to = Integer.parseInt(Json.text(body, "foreman").substring("node-".length()));
+        if (to == m.node) {
+          next(m);
+        } else {
+          m.node = to;
+          m.nextReport = now + 200_000;
+        }
+      } else {
+        next(m);
+      }
+    } catch (IOException e) {
+      broken.add("an answer to a worker is no JSON object");
+    }
+  }
+
+  /** Submits a job over and over until it is accepted. */
+  public void submit(int node, Map<String, Object> job) {
+    String id = Json.text(job, "id");
+    Known k = new Known();
+    k.tasks = (int) Json.num(job, "strands", 0);
+    k.gang = "ensemble".equals(job.get("shape"));
+    known.put(id, k);
+    trySubmit(node, job, k);
+  }
+
+  private void trySubmit(int node, Map<String, Object> job, Known k) {
+    ask(
+        node,
+        "POST",
+        "/work",
+        job,
+        answer -> {
+          if (answer.status() == 200 || answer.status() == 201) {
+            k.last = k.last.isEmpty() ? "queued" : k.last;
+          }
+        });
+    later(
+        2 * SECOND,
+        () -> {
+          if (k.last.isEmpty()) {
+            trySubmit((node + 1) % nodes.size(), job, k);
+          }
+        });
+  }
+
+  public void abort(int node, String id) {
+    Known k = known.get(id);
+    ask(
+        node,
+        "POST",
+        "/work/" + id + "/abort",
+        null,
+        answer -> {
+          if (answer.status() == 200) {
+            told(id, k, answer);
+          }
+        });
+    later(
+        2 * SECOND,
+        () -> {
+          if (!k.last.equals("withdrawn") && !k.last.equals("done")) {
+            abort((node + 1) % nodes.size(), id);
+          }
+        });
+  }
+
+  public void poll(int node, String id) {
+    ask(
+        node,
+        "GET",
+        "/work/" + id,
+        null,
+        answer -> {
+          Known k = known.get(id);
+          if (answer.status() == 200 && k == null) {
+            broken.add("invented: " + id);
+          } else if (answer.status() == 404 && k != null && !k.last.isEmpty()) {
+            broken.add("forgotten: " + id);
+          } else if (answer.status() == 200) {
+            told(id, k, answer);
+          }
+        });
+  }
+
+  private void told(String id, Known k, Outbox.Answer answer) {
+    try {
+      String phase = Json.text(Json.object(answer.body()), "phase");
+      if ((k.last.equals("done") || k.last.equals("withdrawn")) && !phase.equals(k.last)) {
+        broken.add("went_back: " + id + " " + k.last + " then " + phase);
+      }
+      if (phase.equals("done") && k.done.size() < k.tasks) {
+        broken.add("not_done: " + id + " with " + k.done.size() + " of " + k.tasks);
+      }
+      if (phase.equals("withdrawn") && k.withdrawnAt < 0) {
+        k.withdrawnAt = now;
+      }
+      k.last = phase;
+    } catch (IOException e) {
+      broken.add("an answer to a user is no JSON object");
+    }
+  }
+
+  public String phase(String id) {
+    return known.get(id).last;
+  }
+
+  /** Where a job's tasks are now, by zone. */
+  public Map<String, Integer> zones(String job) {
+    Map<String, Integer> zones = new TreeMap<>();
+    for (Machine m : machines.values()) {
+      for (WorkerStandIn.Task t : m.worker.live()) {
+        if (t.name.startsWith(job + "/")) {
+          zones.merge(m.worker.zone(), 1, Integer::sum);
+        }
+      }
+    }
+    return zones;
+  }
+
+  private void check() {
+    Map<String, String> on = new HashMap<>();
+    int count = 0;
+    for (Machine m : machines.values()) {
+      m.worker.finished().forEach(this::finished);
+      if (m.dead) {
+        continue;
+      }
+      for (WorkerStandIn.Task t : m.worker.live()) {
+        count++;
+        String other = on.put(t.name, m.worker.host());
+        if (other != null) {
+          broken.add("ran_twice: " + t.name + " on " + other + " and " + m.worker.host());
+        }
+        Known k = known.get(t.name.substring(0, t.name.lastIndexOf('/')));
+        if (k != null && k.withdrawnAt >= 0 && now - k.withdrawnAt > CANCEL) {
+          broken.add("ran_cancelled: " + t.name);
+        }
+      }
+    }
+    if (count * 1000L > TEAM_CPUS) {
+      broken.add("quota: " + count + " CPUs");
+    }
+  }
+
+  private void finished(String task) {
+    int slash = task.lastIndexOf('/');
+    Known k = known.get(task.substring(0, slash));
+    if (k != null) {
+      k.done.add(Integer.parseInt(task.substring(slash + 1)));
+      for (int i = 0; k.gang && i < k.tasks; i++) {
+        // A gang completes as one.
+        k.done.add(i);
+      }
+    }
+  }
+
+  /** Replicas run until they are stopped, anything else for six seconds. */
+  private static long runMicros(String task) {
+    boolean service = task.startsWith("req-web") || task.startsWith("req-gone");
+    return service ? Long.MAX_VALUE / 4 : 6 * SECOND;
+  }
+
+  /** A job of one-CPU tasks. */
+  public static Map<String, Object> job(String id, String shape, int tasks) {
+    return Json.of(
+        "id",
+        id,
+        "jobclass",
+        "batch",
+        "owner",
+        "dev",
+        "shape",
+        shape,
+        "rank",
+        shape.equals("service") ? "prod" : "normal",
+        "strands",
+        tasks,
+        "cores",
+        1.0,
+        "accelerators",
+        0.0,
+        "memoryGb",
+        1.0,
+        "bundle",
+        "img",
+        "sizeGb",
+        0.5,
+        "hosttypes",
+        null,
+        "glade",
+        null,
+        "together",
+        shape.equals("ensemble"),
+        "scatter",
+        shape.equals("service"),
+        "loaners",
+        shape.equals("array"),
+        "guessS",
+        6.0,
+        "snapshotS",
+        0.0,
+        "flushS",
+        0.0,
+        "dueS",
+        shape.equals("array") ? 60.0 : null);
+  }
+}
