--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -71,7 +71,7 @@
               }
             });
     jobs = new JobBook(this::jobChanged);
-    slices = new SliceBook(membership.shards(), ledger, workers, membership.owned()::contains);
+    slices = new SliceBook(membership.shards(), ledger, workers);
     recorder = new Recorder(settings, ledger, membership, jobs, slices);
     scheduler =
         new Scheduler(settings, membership, jobs, slices, workers, recorder, outbox, this::cacheGb);
@@ -110,10 +110,19 @@
               }
 
               @Override
-              public void place() {
-                if (scheduler.takeChanged()) {
-                  placer.passNow();
-                }
+              public long place() {
+                placer.passSoon();
+                return placer.passes() + (scheduler.isChanged() ? 1 : 0);
+              }
+
+              @Override
+              public long placed() {
+                return placer.passes();
+              }
+
+              @Override
+              public void restarted(Worker worker, Report now) {
+                scheduler.restarted(worker, now);
               }
 
               @Override
@@ -222,7 +231,7 @@
     } else if (key.startsWith(Slice.KEYS)) {
       scheduler.recordChanged(key);
     } else if (key.startsWith(Worker.KEYS)) {
-      workers.changed(key, now);
+      workers.changed(key, before, now);
       scheduler.touch();
     } else {
       scheduler.touch();
--- a/src/main/java/gladeknot/fleet/Capacity.java
+++ b/src/main/java/gladeknot/fleet/Capacity.java
@@ -79,6 +79,36 @@
     return false;
   }
 
+  /**
+   * Puts many tasks of one job in, as far as machines take them; returns how many found a place.
+   * Only for jobs that may be in any zone: each machine is looked at once.
+   */
+  int put(JobSpec spec, int count) {
+    int rest = count;
+    for (Box box : boxes) {
+      if (spec.shape() == JobSpec.Shape.SERVICE && spec.gpus() == 0 && box.type.gpus() > 0) {
+        continue;
+      }
+      while (rest > 0 && box.take(spec)) {
+        rest--;
+      }
+      if (rest == 0) {
+        break;
+      }
+    }
+    return count - rest;
+  }
+
+  /** Puts tasks in one machine; returns how many it took. */
+  int fill(Box box, JobSpec spec, Map<String, Integer> inZone, int count) {
+    int n = 0;
+    while (n < count && spec.zoneOpen(box.zone, inZone) && box.take(spec)) {
+      inZone.merge(box.zone, 1, Integer::sum);
+      n++;
+    }
+    return n;
+  }
+
   List<Box> boxes() {
     return boxes;
   }
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -5,7 +5,6 @@
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobSpec;
 import gladeknot.ledger.Ledger;
-import gladeknot.ledger.Ledger.Write;
 import gladeknot.ledger.Tokens;
 import gladeknot.membership.Membership;
 import gladeknot.placement.Attempt;
@@ -26,6 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,9 +36,14 @@
   private static final long TYPES_MICROS = 60_000_000;
   private static final long STEP_MICROS = 500_000;
   private static final long LIST_MICROS = 20_000_000;
-  private static final int MOST_AT_ONCE = 10;
-  private static final int MOST_FORECAST = 250;
+
+  /** The most that the protocol lets one request rent, and one release name. */
+  private static final int MOST_AT_ONCE = 50;
+
+  private static final int MOST_RELEASED = 100;
+  private static final int MOST_FORECAST = 3000;
   private static final int MOST_ERRORS = 4;
+  private static final int MOST_DEAF = 2;
   private static final long SILENT_MICROS = 8_000_000;
 
   /** Tasks are often longer than they are thought to be. */
@@ -99,7 +104,13 @@
   private final Map<String, Long> strangers = new HashMap<>();
   private final Demand demand = new Demand();
   private final Set<String> unneeded = new HashSet<>();
-  private final Set<String> releases = new HashSet<>();
+
+  /** Machines marked for release that wait for a call to the cloud. */
+  private final Map<String, Integer> toRelease = new LinkedHashMap<>();
+
+  /** Machines by zone. */
+  private final Map<String, Integer> inZones = new HashMap<>();
+
   private boolean askingTypes;
   private long nextTypesMicros;
   private long nextStepMicros;
@@ -167,11 +178,13 @@
       return;
     }
     nextStepMicros = now + STEP_MICROS;
+    countZones();
     for (int shard : List.copyOf(membership.owned())) {
       if (membership.commitsFor(shard)) {
         giveBack(shard);
       }
     }
+    sendReleases();
     rent();
     lend();
     if (now >= nextPlanMicros) {
@@ -240,10 +253,13 @@
         long by = nowMicros + policy.micros(Policy.Name.PATIENCE);
         inZone.put(forecast.roomiest(spec, only, by, zonesOffered()), 0);
       }
+      boolean anywhere = only < 0 && !need.starved() && !spec.scatter() && !spec.together();
       for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
         looked++;
         Forecast.Slot slot =
-            need.starved() ? forecast.fresh(spec, inZone) : forecast.best(spec, inZone, only);
+            anywhere
+                ? forecast.first(spec)
+                : need.starved() ? forecast.fresh(spec, inZone) : forecast.best(spec, inZone, only);
         long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
         if (i < mine) {
           long latest = latestStart(need.job(), careful, at);
@@ -279,7 +295,7 @@
     Capacity capacity = new Capacity();
     for (Worker w : workers.all()) {
       MachineType type = types.get(w.type());
-      if (type != null && w.stamp() != 0 && !w.leaving() && w.recallAtMicros() == 0) {
+      if (type != null && w.entered() && !w.leaving() && w.recallAtMicros() == 0) {
         capacity.add(new Capacity.Box(w.host(), type, w.zone(), w.spot()));
       }
     }
@@ -308,11 +324,13 @@
       JobSpec spec = load.like();
       int tasks = (int) Math.ceil(target(load));
       Map<String, Integer> inZone = new HashMap<>();
-      for (int i = 0; i < tasks && i < MOST_FORECAST; i++) {
+      boolean anywhere = !spec.scatter() && !spec.together();
+      int first = anywhere ? capacity.put(spec, tasks) : 0;
+      for (int i = first; i < tasks && i < MOST_FORECAST; i++) {
         if (i % Math.max(1, spec.tasks()) == 0) {
           inZone.clear();
         }
-        if (capacity.put(spec, inZone)) {
+        if (!anywhere && capacity.put(spec, inZone)) {
           continue;
         }
         Offer offer = choose(spec, inZone, tasks - i, wanted, Forecast.NEVER, Forecast.NEVER);
@@ -320,10 +338,13 @@
           break;
         }
         wanted.merge(offer, 1, Integer::sum);
-        capacity.add(new Capacity.Box("", offer.type, offer.zone, offer.spot));
-        if (!capacity.put(spec, inZone)) {
+        Capacity.Box box = new Capacity.Box("", offer.type, offer.zone, offer.spot);
+        capacity.add(box);
+        int in = capacity.fill(box, spec, inZone, anywhere ? tasks - i : 1);
+        if (in == 0) {
           break;
         }
+        i += in - 1;
       }
     }
     unneeded.clear();
@@ -404,13 +425,12 @@
         LOG.info(
             "lend {} of shard {} to shard {} for {}", w.host(), w.shard(), need.shard(), spec.id());
         w.releasing = true;
-        String key = Worker.key(w.host());
-        recorder.add(
-            new Recorder.Extra(
-                w.shard(),
-                Write.put(key, w.record(need.shard(), false)),
-                Map.of(key, w.stamp()),
-                done -> w.releasing = false));
+        edit(
+            w.host(),
+            w.shard(),
+            w.record(),
+            w.record(need.shard(), false),
+            done -> w.releasing = false);
         return;
       }
     }
@@ -425,7 +445,7 @@
     Forecast forecast = new Forecast();
     for (Worker w : workers.all()) {
       MachineType type = types.get(w.type());
-      if (type == null || w.stamp() == 0 || w.leaving() || w.recallAtMicros() != 0) {
+      if (type == null || !w.entered() || w.leaving() || w.recallAtMicros() != 0) {
         continue;
       }
       boolean ours = membership.owned().contains(w.shard());
@@ -516,8 +536,7 @@
     double bestScore = 0;
     for (MachineType type : types.values()) {
       int fits = type.fits(spec);
-      if (fits == 0
-          || (spec.gpus() == 0 && type.gpus() > 0 && spec.shape() == JobSpec.Shape.SERVICE)) {
+      if (fits == 0 || (spec.gpus() == 0 && type.gpus() > 0 && !onGpusAlone(spec))) {
         continue;
       }
       long up = nowMicros + type.readyMicros() + (long) (spec.imageGb() / type.fetchGbPerS() * 1e6);
@@ -541,7 +560,7 @@
           }
           // Both zones get machines where tasks are to be spread.
           if (spec.scatter()) {
-            score *= 1 + 0.05 * machinesIn(zone);
+            score *= 1 + 0.05 * inZones.getOrDefault(zone, 0);
           }
           if (best == null || score < bestScore) {
             best = offer;
@@ -553,8 +572,20 @@
     return best;
   }
 
-  private long machinesIn(String zone) {
-    return workers.all().stream().filter(w -> zone.equals(w.zone())).count();
+  /** Whether a job that uses no GPU fits only machines that have some. */
+  private boolean onGpusAlone(JobSpec spec) {
+    for (MachineType type : types.values()) {
+      boolean allowed = spec.types() == null || spec.types().contains(type.name());
+      if (allowed && type.gpus() == 0 && type.fits(spec) > 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void countZones() {
+    inZones.clear();
+    workers.all().forEach(w -> inZones.merge(w.zone(), 1, Integer::sum));
   }
 
   private void hire(Offer offer, int number, int shard) {
@@ -628,22 +659,25 @@
     if (!adopting.add(host)) {
       return;
     }
-    String key = Worker.key(host);
-    recorder.add(
-        new Recorder.Extra(
-            shard,
-            Write.put(key, Worker.record(shard, type, zone, spot, wallMicros, false)),
-            Map.of(key, 0L),
-            done -> {
-              adopting.remove(host);
-              scheduler.touch();
-            }));
+    edit(
+        host,
+        shard,
+        null,
+        Worker.record(shard, type, zone, spot, wallMicros, false),
+        done -> {
+          adopting.remove(host);
+          scheduler.touch();
+        });
+  }
+
+  private void edit(String host, int shard, String from, String to, Consumer<Boolean> then) {
+    recorder.add(new Recorder.Edit(shard, Worker.key(host), Worker.field(host), from, to, then));
   }
 
   /** A machine that reports and that nobody has entered. */
   public void adopt(Report report) {
     int shard = membership.home();
-    if (membership.commitsFor(shard) && !releases.contains(report.host())) {
+    if (membership.commitsFor(shard) && !workers.released(report.host())) {
       LOG.info("adopt {} for shard {}", report.host(), shard);
       enter(report.host(), shard, report.type(), report.zone(), report.spot());
     }
@@ -668,10 +702,13 @@
         if (age > 2 * ready + ready / 4 + 10_000_000 && here > 10_000_000) {
           why = "never came up";
         }
-      } else if (nowMicros - w.reportMicros() > (zoneSilent(w) ? ZONE_PATIENCE * silent : silent)) {
+      } else if (nowMicros - w.reportMicros() > silent
+          && (nowMicros - w.reportMicros() > ZONE_PATIENCE * silent || !zoneSilent(w))) {
         why = "silent";
       } else if (w.errors >= 4 && !busy) {
         why = "fails tasks";
+      } else if (w.deafTimes() >= MOST_DEAF && !busy) {
+        why = "does not hear";
       } else if (!busy && w.report().tasks().isEmpty()) {
         if (w.idleSinceMicros == 0) {
           w.idleSinceMicros = nowMicros;
@@ -714,50 +751,57 @@
       sendRelease(w.host(), shard);
       return;
     }
-    String key = Worker.key(w.host());
-    recorder.add(
-        new Recorder.Extra(
-            shard,
-            Write.put(key, w.record(shard, true)),
-            Map.of(key, w.stamp()),
-            done -> {
-              if (done) {
-                sendRelease(w.host(), shard);
-              } else {
-                w.releasing = false;
-              }
-            }));
+    edit(
+        w.host(),
+        shard,
+        w.record(),
+        w.record(shard, true),
+        done -> {
+          if (done) {
+            sendRelease(w.host(), shard);
+          } else {
+            w.releasing = false;
+          }
+        });
   }
 
   private void sendRelease(String host, int shard) {
-    if (!tokens.take(1, 0, nowMicros)) {
-      Worker w = workers.get(host);
-      if (w != null) {
-        w.releasing = false;
-      }
+    toRelease.put(host, shard);
+  }
+
+  /** Releases what waits for it, many machines with one call. */
+  private void sendReleases() {
+    if (toRelease.isEmpty() || !tokens.take(1, 0, nowMicros)) {
       return;
     }
-    releases.add(host);
+    Map<String, Integer> shards = new LinkedHashMap<>();
+    for (Map.Entry<String, Integer> e : toRelease.entrySet()) {
+      if (shards.size() < MOST_RELEASED) {
+        shards.put(e.getKey(), e.getValue());
+      }
+    }
+    toRelease.keySet().removeAll(shards.keySet());
     outbox.call(
         settings.cloud(),
         "POST",
         "/rentals/release",
-        Json.of("hosts", List.of(host)),
+        Json.of("hosts", List.copyOf(shards.keySet())),
         CALL_MICROS,
-        reply -> {
-          if (reply.status() != 200) {
-            Worker w = workers.get(host);
-            if (w != null) {
-              w.releasing = false;
-            }
-            return;
-          }
-          scheduler.machineGone(host, "machine released");
-          String key = Worker.key(host);
-          recorder.add(
-              new Recorder.Extra(
-                  shard, Write.delete(key), Map.of(key, ledger.stamp(key)), done -> {}));
-        });
+        reply -> shards.forEach((host, shard) -> released(host, shard, reply.status() == 200)));
+  }
+
+  private void released(String host, int shard, boolean done) {
+    Worker w = workers.get(host);
+    if (!done) {
+      if (w != null) {
+        w.releasing = false;
+      }
+      return;
+    }
+    scheduler.machineGone(host, "machine released");
+    if (w != null && w.entered()) {
+      edit(host, shard, w.record(), Worker.RELEASED, ok -> {});
+    }
   }
 
   /** Reads the cloud's list for machines that nobody has entered and for failed ones. */
@@ -794,7 +838,7 @@
   private void listed(Map<String, Object> m) {
     String host = Json.text(m, "id");
     Worker w = workers.get(host);
-    if (w != null && w.stamp() != 0) {
+    if (w != null && w.entered()) {
       strangers.remove(host);
       boolean failed = "failed".equals(Json.text(m, "phase"));
       if (failed && !w.releasing && membership.commitsFor(w.shard())) {
@@ -802,6 +846,9 @@
       }
       return;
     }
+    if (workers.released(host)) {
+      return;
+    }
     // Lists lag: what was just rented or just released looks the same as an orphan for a while.
     long since = strangers.computeIfAbsent(host, h -> nowMicros);
     int shard = membership.home();
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -2,8 +2,11 @@
 
 import gladeknot.jobs.JobSpec;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 
 /**
  * When waiting tasks will start on the machines there are: each machine's room over time, as
@@ -125,6 +128,7 @@
 
   void add(Slot slot) {
     slots.add(slot);
+    lines.values().forEach(line -> line.add(slot));
   }
 
   /** A machine that has room already, or will when it is up; null if none has. */
@@ -142,6 +146,77 @@
     return best(spec, inZone, -1);
   }
 
+  /** What decides on which machines tasks may go and when: many jobs share it. */
+  private record Kind(
+      long cpus,
+      long gpus,
+      long memory,
+      String image,
+      List<String> types,
+      String zone,
+      boolean spot) {}
+
+  /**
+   * The machines in the order in which they could run a task of a kind. What is put in only makes a
+   * machine later, so a machine's time is worked out again only when it comes to the front.
+   */
+  private static final class Line {
+    private record Place(long at, int order, Slot slot) {}
+
+    private final JobSpec spec;
+    private final PriorityQueue<Place> places =
+        new PriorityQueue<>(Comparator.comparingLong(Place::at).thenComparingInt(Place::order));
+
+    private Line(JobSpec spec) {
+      this.spec = spec;
+    }
+
+    private void add(Slot slot) {
+      long at = slot.earliest(spec);
+      if (at < NEVER) {
+        places.add(new Place(at + slot.fetchMicros(spec), places.size(), slot));
+      }
+    }
+
+    private Slot best() {
+      while (!places.isEmpty()) {
+        Place first = places.peek();
+        Slot slot = first.slot();
+        long at = slot.earliest(spec);
+        if (at < NEVER && at + slot.fetchMicros(spec) <= first.at()) {
+          return slot;
+        }
+        places.poll();
+        if (at < NEVER) {
+          places.add(new Place(at + slot.fetchMicros(spec), first.order(), slot));
+        }
+      }
+      return null;
+    }
+  }
+
+  private final Map<Kind, Line> lines = new HashMap<>();
+
+  /** Where a task of a job that may go to any zone would run first; null if nowhere. */
+  Slot first(JobSpec spec) {
+    Kind kind =
+        new Kind(
+            spec.cpus(),
+            spec.gpus(),
+            spec.memory(),
+            spec.image(),
+            spec.types(),
+            spec.zone(),
+            spec.spot());
+    Line line = lines.get(kind);
+    if (line == null) {
+      line = new Line(spec);
+      slots.forEach(line::add);
+      lines.put(kind, line);
+    }
+    return line.best();
+  }
+
   /** The same on one shard's machines alone, as a gang needs them; -1: on all. */
   Slot best(JobSpec spec, Map<String, Integer> inZone, int shard) {
     Slot best = null;
--- a/src/main/java/gladeknot/jobs/JobBook.java
+++ b/src/main/java/gladeknot/jobs/JobBook.java
@@ -14,6 +14,7 @@
 
   private final Map<String, Job> active = new LinkedHashMap<>();
   private final Listener listener;
+  private long changes;
 
   public JobBook(Listener listener) {
     this.listener = listener;
@@ -27,9 +28,15 @@
     return active.values();
   }
 
+  /** Grows with every change. */
+  public long changes() {
+    return changes;
+  }
+
   /** Takes in a change of a job's key. */
   public void changed(String key, Ledger.Entry entry) {
     String id = key.substring(Job.KEYS.length());
+    changes++;
     Job before = active.get(id);
     Job now = entry == null ? null : Job.read(id, entry);
     if (now != null && now.active()) {
--- a/src/main/java/gladeknot/jobs/JobsDesk.java
+++ b/src/main/java/gladeknot/jobs/JobsDesk.java
@@ -217,7 +217,9 @@
     List<Pending> batch = new ArrayList<>();
     List<Pending> later = new ArrayList<>();
     int bytes = 0;
-    while (!queue.isEmpty() && writes.size() < settings.stateLimits().txnOps() && bytes < 40_000) {
+    // What there are tokens for goes now: a full batch must not wait for a full bucket.
+    int room = Math.min(settings.stateLimits().txnOps(), Math.max(1, ledger.writesLeft(0)));
+    while (!queue.isEmpty() && writes.size() < room && bytes < 40_000) {
       Pending p = queue.poll();
       String key = Job.key(p.id());
       if (conditions.containsKey(key)) {
--- a/src/main/java/gladeknot/ledger/Ledger.java
+++ b/src/main/java/gladeknot/ledger/Ledger.java
@@ -30,6 +30,7 @@
   private static final long BARRIER_GAP_MICROS = 80_000;
   private static final long BARRIER_WAIT_MICROS = 1_500_000;
   private static final int PAGE = 400;
+  private static final double WRITE_SHARE = 1.5;
 
   /** A key's value and the stamp of its last change. */
   public record Entry(Map<String, Object> data, long stamp) {}
@@ -109,7 +110,9 @@
     this.listener = listener;
     double part = 0.92 / settings.nodes().size();
     double rps = settings.stateLimits().rps() * part;
-    double writeRps = settings.stateLimits().writeRps() * part;
+    // Writes come in bursts at one controller or the other: each may use more than an even part,
+    // and gives way when the service says that all together were too many.
+    double writeRps = settings.stateLimits().writeRps() * Math.min(0.92, part * WRITE_SHARE);
     this.requests = new Tokens(rps, rps);
     this.writes = new Tokens(writeRps, writeRps);
   }
@@ -146,6 +149,11 @@
     return requests.take(1, 2, nowMicros) && writes.take(count, keep, nowMicros);
   }
 
+  /** How many writes there are tokens for, leaving some to more urgent ones. */
+  public int writesLeft(double keepShare) {
+    return (int) writes.left(keepShare * writes.burst(), nowMicros);
+  }
+
   /** Lets time pass. */
   public void tick(long now) {
     nowMicros = now;
--- a/src/main/java/gladeknot/ledger/Tokens.java
+++ b/src/main/java/gladeknot/ledger/Tokens.java
@@ -24,6 +24,12 @@
     }
   }
 
+  /** How many tokens may be taken now if {@code keep} are to stay. */
+  public double left(double keep, long nowMicros) {
+    refill(nowMicros);
+    return Math.max(0, level - keep);
+  }
+
   /** Takes tokens if so many are there and {@code keep} stay for what matters more. */
   public boolean take(double count, double keep, long nowMicros) {
     refill(nowMicros);
--- a/src/main/java/gladeknot/placement/Attempt.java
+++ b/src/main/java/gladeknot/placement/Attempt.java
@@ -15,6 +15,7 @@
   private final int task;
   private final long number;
   private final String host;
+  private final String name;
   private final long decidedMicros;
 
   /** In the ledger: it may be sent. */
@@ -37,6 +38,14 @@
   /** Whether its run may have reached the worker. */
   boolean sent;
 
+  /** The newest report whose answer carried its run; 0 if none of ours did. */
+  long sentTenure;
+
+  long sentTick;
+
+  /** How many answers carried its run and did not reach the worker, as later reports show. */
+  int missed;
+
   Seen seen = Seen.NOT_YET;
   long runningSinceMicros;
 
@@ -51,6 +60,7 @@
     this.task = task;
     this.number = number;
     this.host = host;
+    this.name = slice.job() + "/" + task;
     this.decidedMicros = decidedMicros;
   }
 
@@ -96,7 +106,7 @@
 
   /** The task's name on the wire. */
   public String name() {
-    return slice.job() + "/" + task;
+    return name;
   }
 
   @Override
--- a/src/main/java/gladeknot/placement/Estimates.java
+++ b/src/main/java/gladeknot/placement/Estimates.java
@@ -15,6 +15,9 @@
   /** So many finished tasks weigh as much as the guess as it stands. */
   private static final int TRUST = 10;
 
+  /** Up to so many finished tasks each one counts at once, after that a share of as many. */
+  private static final int FEW = 32;
+
   /** Run times of finished tasks by job: their sum and number. */
   private final Map<String, long[]> jobs =
       new LinkedHashMap<>(64, 0.75f, true) {
@@ -26,7 +29,26 @@
         }
       };
 
-  private final Map<String, Histogram> ratios = new HashMap<>();
+  /** What a class's tasks took, in hundredths of their guesses. */
+  private static final class Ratio {
+    private final Histogram percents = new Histogram(MOST, 2);
+    private double value = 1;
+    private long at;
+    private boolean fresh;
+
+    /** It is asked for each running task again and again, and a percentile walks the histogram. */
+    private double value() {
+      long n = percents.getTotalCount();
+      if (!fresh && (n < FEW || n >= at + at / FEW)) {
+        value = (percents.getValueAtPercentile(50) / 100.0 * n + TRUST) / (n + TRUST);
+        at = n;
+      }
+      fresh = true;
+      return value;
+    }
+  }
+
+  private final Map<String, Ratio> ratios = new HashMap<>();
 
   /** Notes how long a task ran. */
   void finished(JobSpec spec, long ranMicros) {
@@ -37,7 +59,9 @@
     long[] sum = jobs.computeIfAbsent(spec.id(), id -> new long[2]);
     sum[0] += ranMicros;
     sum[1]++;
-    ratios.computeIfAbsent(spec.jobClass(), c -> new Histogram(MOST, 2)).recordValue(percent);
+    Ratio ratio = ratios.computeIfAbsent(spec.jobClass(), c -> new Ratio());
+    ratio.percents.recordValue(percent);
+    ratio.fresh = false;
   }
 
   /** What a task of the job will take, its image's fetch left out; services never end. */
@@ -50,12 +74,7 @@
       // Tasks of one job are much alike: those that have ended tell of the rest.
       return own[0] / own[1];
     }
-    Histogram h = ratios.get(spec.jobClass());
-    if (h == null || h.getTotalCount() == 0) {
-      return spec.guessMicros();
-    }
-    long n = h.getTotalCount();
-    double ratio = (h.getValueAtPercentile(50) / 100.0 * n + TRUST) / (n + TRUST);
-    return (long) (spec.guessMicros() * ratio);
+    Ratio ratio = ratios.get(spec.jobClass());
+    return ratio == null ? spec.guessMicros() : (long) (spec.guessMicros() * ratio.value());
   }
 }
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -14,7 +14,6 @@
 import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -31,18 +30,17 @@
   /** Workers become usable with time as well: a pass comes now and then in any case. */
   private static final long AGAIN_MICROS = 400_000;
 
-  /** Keys of work that is late for all its deadlines begin here. */
-  private static final long LATE_KEY = Long.MAX_VALUE / 4;
-
   private static final long FOREIGN_STEP_MICROS = 1_500_000;
 
   /** From a decision to a running task, where nothing is known yet. */
   private static final long START_MICROS = 4_000_000;
 
+  private static final long GUARANTEE_MARGIN_MICROS = 1_000_000;
+
   /** Room kept in a record for what else it holds. */
-  private static final int RECORD_OVERHEAD = 400;
+  private static final int RECORD_OVERHEAD = 1000;
 
-  private static final int ATTEMPT_BYTES = 40;
+  private static final int ATTEMPT_BYTES = 30;
 
   /** Names of machine types and what they are. */
   public interface Types {
@@ -60,7 +58,8 @@
   public record Queue(List<Need> waiting) {}
 
   /** A slice with tasks to start; {@code key} orders those of one rank. */
-  private record Waiting(Slice slice, Job job, boolean foreign, boolean guaranteed, long key) {}
+  private record Waiting(
+      Slice slice, Job job, boolean foreign, boolean starved, boolean guaranteed, long key) {}
 
   private final Settings settings;
   private final Policy policy;
@@ -73,8 +72,11 @@
   private final Scheduler scheduler;
   private final Types types;
   private final Preemption preemption;
+  private final Urgency urgency;
   private final Supplier<List<String>> zonesOffered;
   private final Map<String, Budgets.Amount> left = new HashMap<>();
+  private final long guaranteeMicros;
+  private long passes;
   private long nextMicros;
   private long againMicros;
   private long nowMicros;
@@ -104,6 +106,14 @@
     this.types = types;
     this.zonesOffered = zonesOffered;
     this.preemption = new Preemption(settings, policy, jobs, slices);
+    long within = Long.MAX_VALUE / 4;
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.kind().equals("guarantee")) {
+        within = o.withinMicros();
+      }
+    }
+    this.guaranteeMicros = within;
+    this.urgency = new Urgency(settings, jobs, slices, scheduler.estimates());
   }
 
   /** What waits in all shards. */
@@ -114,7 +124,7 @@
       for (Slice s : slices.of(shard)) {
         Job job = jobs.active(s.job());
         if (job != null && s.todoCount() > 0 && nowMicros >= s.restUntilMicros) {
-          all.add(new Waiting(s, job, !ours, preemption.guaranteed(job.id()), key(job)));
+          all.add(waiting(s, job, !ours));
         }
       }
     }
@@ -143,7 +153,7 @@
                 w.slice().shard(),
                 (int) n,
                 !w.foreign(),
-                w.key() >= LATE_KEY
+                w.key() >= Urgency.LATE_KEY
                     && w.slice().waitingSinceMicros != 0
                     && nowMicros - w.slice().waitingSinceMicros
                         > policy.micros(Policy.Name.PATIENCE),
@@ -198,8 +208,20 @@
     passNow();
   }
 
-  /** Decides starts at once. */
-  public void passNow() {
+  /** How many times starts have been decided. */
+  public long passes() {
+    return passes;
+  }
+
+  /** Decides starts if something has changed and the last time is not too short ago. */
+  public void passSoon() {
+    if (nowMicros >= nextMicros && scheduler.takeChanged()) {
+      passNow();
+    }
+  }
+
+  private void passNow() {
+    passes++;
     nextMicros = nowMicros + PASS_MICROS;
     againMicros = nowMicros + AGAIN_MICROS;
     for (int shard = 0; shard < membership.shards(); shard++) {
@@ -213,7 +235,7 @@
   /** Whether new tasks may go to a worker. */
   public boolean usable(Worker w) {
     return w.report() != null
-        && w.stamp() != 0
+        && w.entered()
         && !w.leaving()
         && !w.releasing
         && w.recallAtMicros() == 0
@@ -226,7 +248,9 @@
   private void pass(int shard) {
     left.clear();
     budgets.clear(shard);
-    preemption.refresh(membership.shards());
+    preemption.forgetVictims();
+    urgency.refresh(nowMicros, wallMicros);
+    preemption.refresh(membership.shards(), nowMicros);
     List<Room> rooms = new ArrayList<>();
     for (Worker w : workers.of(shard)) {
       if (usable(w)) {
@@ -252,6 +276,7 @@
    */
   private static final Comparator<Waiting> ORDER =
       Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
+          .thenComparing(w -> !w.starved())
           .thenComparing(w -> !w.guaranteed())
           .thenComparing(Waiting::foreign)
           .thenComparingLong(Waiting::key)
@@ -261,39 +286,29 @@
   /** The same without regard to whose it is. */
   private static final Comparator<Waiting> QUEUE_ORDER =
       Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
+          .thenComparing(w -> !w.starved())
           .thenComparing(w -> !w.guaranteed())
           .thenComparingLong(Waiting::key)
           .thenComparingLong(w -> w.job().submittedMicros())
           .thenComparing(w -> w.job().id());
 
-  /**
-   * What is due first comes first, by the first of the class's deadlines that can still be met;
-   * work that is late for all of them comes after, and does not hold up what can be in time.
-   */
-  private long key(Job job) {
-    JobSpec spec = job.spec();
-    if (spec.dueMicros() == 0) {
-      return LATE_KEY - 1;
-    }
-    long run = estimates().runMicros(spec);
-    long age = Math.max(0, wallMicros - job.submittedMicros());
-    for (Settings.Objective o : settings.objectives()) {
-      if (o.kind().equals("deadline") && spec.jobClass().equals(o.jobClass())) {
-        long due = (long) (spec.dueMicros() * o.times());
-        if (age + run <= due) {
-          return job.submittedMicros() + due;
-        }
-      }
-    }
-    return LATE_KEY + job.submittedMicros();
-  }
-
   /** A running task's rank; what belongs to a job that is over is as good as gone. */
   public JobSpec.Rank rank(Attempt a) {
     Job job = jobs.active(a.slice().job());
     return job == null ? JobSpec.Rank.IDLE : job.spec().rank();
   }
 
+  private Waiting waiting(Slice s, Job job, boolean foreign) {
+    // Work that newer work keeps going before would never begin under a steady load.
+    boolean starved = wallMicros - job.submittedMicros() > policy.micros(Policy.Name.STARVE_AFTER);
+    // A guarantee is for work that has just come: what has waited for longer than that is meant to
+    // has missed it, and would now only keep others from their deadlines.
+    boolean guaranteed =
+        preemption.guaranteed(job.id())
+            && wallMicros - job.submittedMicros() < guaranteeMicros + GUARANTEE_MARGIN_MICROS;
+    return new Waiting(s, job, foreign, starved, guaranteed, urgency.key(job));
+  }
+
   /** The slices of one shard that wait; those of others only once they have waited a while. */
   private void waiting(int from, int shard, List<Waiting> into) {
     boolean foreign = from != shard;
@@ -313,7 +328,7 @@
         s.waitingSinceMicros = nowMicros;
       }
       if (!foreign || nowMicros - s.waitingSinceMicros >= policy.micros(Policy.Name.CLAIM_AFTER)) {
-        into.add(new Waiting(s, job, foreign, preemption.guaranteed(job.id()), key(job)));
+        into.add(waiting(s, job, foreign));
       }
     }
   }
@@ -338,13 +353,13 @@
         new Budgets.Amount(a.cpus() - spec.cpus() * count, a.gpus() - spec.gpus() * count));
   }
 
-  /** How many more attempts a slice's record has room for. */
+  /** How many more attempts the part that a slice lies in has room for. */
   private int recordRoom(Slice s) {
-    int used =
-        RECORD_OVERHEAD
-            + ATTEMPT_BYTES * s.out.size()
-            + Ranges.text(s.assigned).length()
-            + Ranges.text(s.done).length();
+    int undecided = 0;
+    for (Attempt a : s.out.values()) {
+      undecided += a.committed ? 0 : 1;
+    }
+    int used = RECORD_OVERHEAD + slices.bytes(s.key()) + ATTEMPT_BYTES * undecided;
     return Math.max(0, (settings.stateLimits().valueBytes() - used) / ATTEMPT_BYTES);
   }
 
@@ -502,10 +517,15 @@
     Slice from = w.slice();
     JobSpec spec = w.job().spec();
     boolean gang = spec.shape() == JobSpec.Shape.GANG;
-    if (recorder.busy(from) || (gang && !from.out.isEmpty())) {
+    if (gang && !from.out.isEmpty()) {
       return 0;
     }
     int todo = from.todoCount();
+    if (recorder.busy(from)) {
+      // Until the part that it lies in is written, room is held for it: if others got that, they
+      // would be stopped for it again.
+      return todo;
+    }
     Slice own = slices.get(shard, spec.id());
     if (own == null) {
       own = slices.create(shard, w.job());
@@ -515,8 +535,7 @@
     if (allowed < todo) {
       lacks(spec, todo, allowed, rooms, shard);
     }
-    if (recorder.busy(own)
-        || !own.claims.isEmpty()
+    if (!own.claims.isEmpty()
         || own.todoCount() > 0
         || nowMicros < own.restUntilMicros
         || nowMicros < from.restUntilMicros
@@ -532,7 +551,7 @@
       task = from.nextTodo(task + 1);
     }
     own.assigned.or(tasks);
-    place(new Waiting(own, w.job(), false, w.guaranteed(), w.key()), rooms, shard);
+    place(new Waiting(own, w.job(), false, w.starved(), w.guaranteed(), w.key()), rooms, shard);
     for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
       if (!own.out.containsKey(t)) {
         tasks.clear(t);
@@ -549,6 +568,17 @@
     return todo - tasks.cardinality();
   }
 
+  /** A machine on which a waiting task gets room, at what it costs those that run there. */
+  private record Chance(Room room, Preemption.Plan plan, double cost) {}
+
+  private Chance chance(JobSpec spec, Room room, boolean mayStop, Set<Attempt> victims) {
+    Preemption.Plan plan = Preemption.NOTHING;
+    if (!room.fitsSoon(spec)) {
+      plan = mayStop ? preemption.plan(room, spec, victims, nowMicros) : null;
+    }
+    return plan == null ? null : new Chance(room, plan, plan.lossS() + score(spec, room, 0));
+  }
+
   /**
    * For tasks that found no room: holds room that is being freed, and stops others for them where
    * that is allowed.
@@ -560,44 +590,54 @@
     // Others with free room come first; those who would have to stop something for a task that
     // is not theirs wait for its own shard, and for those before them.
     int place = Math.floorMod(shard - w.slice().shard(), membership.shards());
-    boolean mayStop = waited >= policy.micros(Policy.Name.STOP_AFTER) + place * FOREIGN_STEP_MICROS;
+    boolean busy = w.foreign() && recorder.busy(w.slice());
+    boolean mayStop =
+        !busy && waited >= policy.micros(Policy.Name.STOP_AFTER) + place * FOREIGN_STEP_MICROS;
+    preemption.patience(w.guaranteed() && waited >= policy.micros(Policy.Name.STOP_EQUAL_AFTER));
+    mayStop = mayStop && preemption.anyVictim(spec, workers.of(shard), nowMicros);
     int rest = count;
     Map<String, Integer> perZone = slices.zoneCounts(w.slice().job());
-    Map<Room, Integer> held = new LinkedHashMap<>();
     Set<Attempt> victims = new LinkedHashSet<>();
+    List<Chance> chances = new ArrayList<>();
+    for (Room room : rooms) {
+      if (suits(spec, room, null, perZone) && (mayStop || room.fitsSoon(spec))) {
+        Chance chance = chance(spec, room, mayStop, victims);
+        if (chance != null) {
+          chances.add(chance);
+        }
+      }
+    }
     while (rest > 0) {
-      Room best = null;
-      Preemption.Plan plan = null;
+      int best = -1;
       double bestCost = 0;
-      for (Room room : rooms) {
-        if (!suits(spec, room, null, perZone)) {
-          continue;
-        }
-        Preemption.Plan p = Preemption.NOTHING;
-        if (!room.fitsSoon(spec)) {
-          p = mayStop ? preemption.plan(room, spec, victims, nowMicros) : null;
-        }
-        if (p == null) {
-          continue;
-        }
-        double cost = p.lossS() + score(spec, room, perZone.getOrDefault(room.worker.zone(), 0));
-        if (best == null || cost < bestCost) {
-          best = room;
-          plan = p;
-          bestCost = cost;
+      for (int i = 0; i < chances.size(); i++) {
+        Chance c = chances.get(i);
+        String zone = c.room().worker.zone();
+        if (spec.zoneOpen(zone, perZone)) {
+          double cost = c.cost() + (spec.scatter() ? perZone.getOrDefault(zone, 0) : 0);
+          if (best < 0 || cost < bestCost) {
+            best = i;
+            bestCost = cost;
+          }
         }
       }
-      if (best == null) {
+      if (best < 0) {
         break;
       }
-      for (Attempt a : plan.victims()) {
+      Room room = chances.get(best).room();
+      for (Attempt a : chances.get(best).plan().victims()) {
         victims.add(a);
-        best.stopping(a.slice());
+        room.stopping(a.slice());
       }
-      best.take(spec);
-      held.merge(best, 1, Integer::sum);
-      perZone.merge(best.worker.zone(), 1, Integer::sum);
+      room.take(spec);
+      perZone.merge(room.worker.zone(), 1, Integer::sum);
       rest--;
+      Chance again = chance(spec, room, mayStop, victims);
+      if (again == null) {
+        chances.remove(best);
+      } else {
+        chances.set(best, again);
+      }
     }
     if (!gang || rest == 0) {
       for (Attempt a : victims) {
--- a/src/main/java/gladeknot/placement/Preemption.java
+++ b/src/main/java/gladeknot/placement/Preemption.java
@@ -5,7 +5,9 @@
 import gladeknot.jobs.JobSpec;
 import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
+import gladeknot.workers.Worker;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,6 +25,9 @@
 
   private static final double MICROS = 1e6;
 
+  /** Finished tasks make room within a guarantee: so often that is looked at. */
+  private static final long GUARANTEED_MICROS = 250_000;
+
   private final Settings settings;
   private final Policy policy;
   private final JobBook jobs;
@@ -32,6 +37,9 @@
   private final Map<String, long[]> used = new HashMap<>();
 
   private final Set<String> guaranteed = new HashSet<>();
+  private boolean equalRanks;
+  private long seenChanges = -1;
+  private long nextGuaranteedMicros;
 
   Preemption(Settings settings, Policy policy, JobBook jobs, SliceBook slices) {
     this.settings = settings;
@@ -45,9 +53,13 @@
 
   static final Plan NOTHING = new Plan(List.of(), 0);
 
-  /** Counts anew what each team uses. */
-  void refresh(int shards) {
-    findGuaranteed();
+  /** Counts anew what each team uses, and now and then which jobs are within a guarantee. */
+  void refresh(int shards, long nowMicros) {
+    if (jobs.changes() != seenChanges || nowMicros >= nextGuaranteedMicros) {
+      seenChanges = jobs.changes();
+      nextGuaranteedMicros = nowMicros + GUARANTEED_MICROS;
+      findGuaranteed();
+    }
     used.clear();
     for (int shard = 0; shard < shards; shard++) {
       for (Slice s : slices.of(shard)) {
@@ -112,7 +124,8 @@
     if (job.spec().rank().ordinal() > spec.rank().ordinal()) {
       return true;
     }
-    return !job.spec().team().equals(spec.team())
+    return equalRanks
+        && !job.spec().team().equals(spec.team())
         && job.spec().rank().ordinal() >= spec.rank().ordinal()
         && guaranteed(spec.id())
         && !guaranteed(job.id())
@@ -120,6 +133,36 @@
         && beyondGuarantee(a.slice());
   }
 
+  private record Asker(JobSpec.Rank rank, String team, boolean guaranteed, boolean equalRanks) {}
+
+  private final Map<Asker, Boolean> victims = new HashMap<>();
+
+  /** Whether work of the same rank may be stopped for what is looked at next. */
+  void patience(boolean over) {
+    equalRanks = over;
+  }
+
+  /** A new pass begins: what may be stopped is looked at anew. */
+  void forgetVictims() {
+    victims.clear();
+  }
+
+  /** Whether anything may be stopped for a job at all: most often nothing, and one look tells. */
+  boolean anyVictim(JobSpec spec, Collection<Worker> workers, long nowMicros) {
+    return victims.computeIfAbsent(
+        new Asker(spec.rank(), spec.team(), guaranteed(spec.id()), equalRanks),
+        asker -> {
+          for (Worker w : workers) {
+            for (Attempt a : w.attempts().values()) {
+              if (mayStop(spec, a, nowMicros)) {
+                return true;
+              }
+            }
+          }
+          return false;
+        });
+  }
+
   /** What stopping a task loses, in seconds of its machine's work. */
   private double lossS(Attempt a, long nowMicros) {
     if (a.runningSinceMicros == 0) {
--- a/src/main/java/gladeknot/placement/Recorder.java
+++ b/src/main/java/gladeknot/placement/Recorder.java
@@ -10,11 +10,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -24,27 +26,67 @@
 /**
  * Writes the records of the shards that are ours: one transaction at a time, each conditional on
  * the shard's stamp and on the stamp of every key that it changes or relies on.
+ *
+ * <p>Keys of many slices or many machines are changed field by field: a transaction takes the
+ * newest copy of such a key, changes its fields and is conditional on that copy's stamp.
  */
 public final class Recorder {
   private static final Logger LOG = LoggerFactory.getLogger(Recorder.class);
   private static final int MAX_BYTES = 40_000;
   private static final long PAUSE_MICROS = 150_000;
 
-  /** A change of one key for a shard, besides the slices. */
+  /** Ends wait so long for company; starts and what completes a slice don't. */
+  private static final long END_WAIT_MICROS = 700_000;
+
+  /**
+   * Write tokens that are left to submissions and aborts, as a share: users wait for those. Claims
+   * leave more: they conflict most and are the least urgent.
+   */
+  private static final double KEEP = 0.3;
+
+  private static final double CLAIMS_KEEP = 0.45;
+
+  /** A change of one whole key for a shard. */
   public record Extra(
       int shard, Write write, Map<String, Long> conditions, Consumer<Boolean> then) {}
 
-  /** A slice as it went into a transaction. */
+  /**
+   * A change of one field of a packed key for a shard, from one value to another; null stands for
+   * none.
+   */
+  public record Edit(
+      int shard, String key, String field, String from, String to, Consumer<Boolean> then) {}
+
+  /** A slice as it went into a transaction, and the keys that it relied on. */
   private record Caught(
       Slice slice,
       long version,
       BitSet done,
       List<Attempt> live,
       List<Attempt> closed,
-      Map<Slice, BitSet> claims) {}
+      Map<Slice, BitSet> claims,
+      Set<String> keys) {}
+
+  private static final class Batch {
+    private final List<Caught> slices = new ArrayList<>();
+    private final List<Extra> extras = new ArrayList<>();
+    private final List<Edit> edits = new ArrayList<>();
+    private final List<Write> whole = new ArrayList<>();
+    private final Map<String, Map<String, Object>> packed = new LinkedHashMap<>();
+    private final Map<String, Long> conditions = new LinkedHashMap<>();
+    private int bytes;
 
-  private record Batch(
-      List<Caught> slices, List<Extra> extras, List<Write> writes, Map<String, Long> conditions) {}
+    private int operations() {
+      return whole.size() + packed.size();
+    }
+
+    private List<Write> writes() {
+      List<Write> writes = new ArrayList<>(whole);
+      packed.forEach(
+          (key, data) -> writes.add(data.isEmpty() ? Write.delete(key) : Write.put(key, data)));
+      return writes;
+    }
+  }
 
   private final Settings settings;
   private final Ledger ledger;
@@ -53,9 +95,10 @@
   private final SliceBook slices;
   private final Set<Slice> dirty = new LinkedHashSet<>();
   private final ArrayDeque<Extra> extras = new ArrayDeque<>();
-  private final Set<Slice> held = new HashSet<>();
+  private final ArrayDeque<Edit> edits = new ArrayDeque<>();
   private Batch inFlight;
   private boolean waiting;
+  private boolean claimsNext;
   private long nextMicros;
   private long nowMicros;
   private Runnable afterCommit = () -> {};
@@ -77,6 +120,9 @@
   /** A slice's working copy has changed. */
   void changed(Slice slice) {
     slice.version++;
+    if (slice.dirtySinceMicros == 0) {
+      slice.dirtySinceMicros = nowMicros;
+    }
     dirty.add(slice);
   }
 
@@ -84,9 +130,13 @@
     extras.add(extra);
   }
 
-  /** Whether a slice is part of the transaction on its way. */
+  public void add(Edit edit) {
+    edits.add(edit);
+  }
+
+  /** Whether the part that a slice lies in is being written. */
   boolean busy(Slice slice) {
-    return held.contains(slice);
+    return inFlight != null && inFlight.packed.containsKey(slice.key());
   }
 
   public void tick(long now) {
@@ -99,90 +149,189 @@
     if (inFlight != null || waiting || nowMicros < nextMicros) {
       return;
     }
-    if (dirty.isEmpty() && extras.isEmpty()) {
+    if (dirty.isEmpty() && extras.isEmpty() && edits.isEmpty()) {
       return;
     }
-    Batch batch = gather();
-    if (batch.writes().isEmpty()) {
+    Batch batch = null;
+    if (claimsNext) {
+      batch = gatherClaims();
+    }
+    claimsNext = !claimsNext;
+    if (batch == null || batch.operations() == 0) {
+      batch = gather();
+    }
+    if (batch.operations() == 0) {
+      batch = gatherClaims();
+    }
+    if (batch.operations() == 0) {
       return;
     }
-    if (!ledger.takeWrites(batch.writes().size(), 0.1)) {
-      batch.extras().forEach(extras::addFirst);
+    if (!ledger.takeWrites(batch.operations(), 0)) {
+      batch.extras.forEach(extras::addFirst);
+      batch.edits.forEach(edits::addFirst);
       return;
     }
     inFlight = batch;
-    for (Caught c : batch.slices()) {
-      held.add(c.slice());
-      held.addAll(c.claims().keySet());
-    }
-    ledger.commit(batch.conditions(), batch.writes(), this::finished);
+    ledger.commit(batch.conditions, batch.writes(), this::finished);
   }
 
+  /** How many writes a transaction may have by its size and by the tokens that are left. */
+  private int room(double keep) {
+    return Math.min(settings.stateLimits().txnOps(), ledger.writesLeft(keep));
+  }
+
+  /**
+   * Gathers ends, starts without claims and other changes: part by part, so that one write serves
+   * all that has happened in it.
+   */
   private Batch gather() {
-    int room = settings.stateLimits().txnOps();
-    Batch batch =
-        new Batch(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new LinkedHashMap<>());
-    int bytes = 0;
+    Batch batch = new Batch();
+    int room = room(KEEP);
+    if (room <= 0) {
+      return batch;
+    }
+    gatherOthers(batch, Math.max(1, room / 2));
+    Set<String> parts = new LinkedHashSet<>();
+    for (Slice s : dirty) {
+      if (s.claims.isEmpty() && membership.commitsFor(s.shard()) && due(s)) {
+        parts.add(s.key());
+      }
+    }
+    Set<String> chosen = new HashSet<>();
+    for (String part : parts) {
+      if (batch.operations() + chosen.size() < room) {
+        chosen.add(part);
+      }
+    }
+    if (!chosen.isEmpty()) {
+      for (Slice s : List.copyOf(dirty)) {
+        if (s.claims.isEmpty() && chosen.contains(s.key()) && batch.bytes < MAX_BYTES) {
+          gather(s, batch);
+        }
+      }
+    }
+    return batch;
+  }
+
+  /** Whether what a slice has to write can't wait for company any longer. */
+  private boolean due(Slice s) {
+    return nowMicros - s.dirtySinceMicros >= END_WAIT_MICROS
+        || s.starts()
+        || s.complete()
+        || jobs.active(s.job()) == null;
+  }
+
+  /** Gathers claims: they rely on other shards' parts, and what fails with them is little. */
+  private Batch gatherClaims() {
+    Batch batch = new Batch();
+    int room = room(CLAIMS_KEEP);
+    if (room < 2) {
+      return batch;
+    }
     for (Slice s : List.copyOf(dirty)) {
-      if (!membership.commitsFor(s.shard())) {
+      if (s.claims.isEmpty() || !membership.commitsFor(s.shard())) {
         continue;
       }
-      Job job = jobs.active(s.job());
-      if (job == null) {
-        dropStarts(s);
-      }
-      if (!claimsStand(s) || (job != null && s.starts() && !slices.zonesStand(job.spec()))) {
-        // Other shards have started some of the job's tasks since: what was decided is dropped.
-        reload(s);
+      Set<String> keys = new HashSet<>(batch.packed.keySet());
+      keys.add(s.key());
+      s.claims.keySet().forEach(from -> keys.add(from.key()));
+      if (keys.size() > room || batch.bytes > MAX_BYTES) {
         continue;
       }
-      if (writtenAlready(s, batch)) {
+      if (claimTwice(s, batch)) {
         // Two claims of the same tasks must not go as one transaction: each would find them free.
         continue;
       }
-      int ops = 1 + s.claims.size();
-      if (batch.writes().size() + ops > room || bytes > MAX_BYTES) {
-        break;
+      gather(s, batch);
+    }
+    return batch;
+  }
+
+  private static boolean claimTwice(Slice s, Batch batch) {
+    for (Caught c : batch.slices) {
+      if (c.slice().job().equals(s.job())) {
+        return true;
       }
-      bytes += gather(s, job, batch);
     }
-    for (int n = extras.size(); n > 0 && batch.writes().size() < room; n--) {
+    return false;
+  }
+
+  private void gatherOthers(Batch batch, int room) {
+    for (int n = edits.size(); n > 0; n--) {
+      Edit e = edits.poll();
+      if (!mayGo(e.shard(), () -> e.then().accept(false))) {
+        if (membership.owned().contains(e.shard())) {
+          edits.add(e);
+        }
+        continue;
+      }
+      if (!batch.packed.containsKey(e.key()) && batch.operations() >= room) {
+        edits.add(e);
+        continue;
+      }
+      Map<String, Object> before = slices.data(e.key());
+      Map<String, Object> now = batch.packed.getOrDefault(e.key(), before);
+      if (!Objects.equals(now.get(e.field()), e.from())) {
+        e.then().accept(false);
+        continue;
+      }
+      put(batch, e.key(), e.field(), e.to());
+      batch.edits.add(e);
+      shardCondition(e.shard(), batch);
+    }
+    for (int n = extras.size(); n > 0 && batch.operations() < room; n--) {
       Extra e = extras.poll();
-      if (!membership.commitsFor(e.shard())) {
+      if (!mayGo(e.shard(), () -> e.then().accept(false))) {
         if (membership.owned().contains(e.shard())) {
           extras.add(e);
-        } else {
-          e.then().accept(false);
         }
         continue;
       }
-      if (e.conditions().keySet().stream().anyMatch(batch.conditions()::containsKey)) {
+      if (e.conditions().keySet().stream().anyMatch(batch.conditions::containsKey)) {
         extras.add(e);
         continue;
       }
-      batch.extras().add(e);
-      batch.writes().add(e.write());
-      batch.conditions().putAll(e.conditions());
+      batch.extras.add(e);
+      batch.whole.add(e.write());
+      batch.conditions.putAll(e.conditions());
       shardCondition(e.shard(), batch);
     }
-    return batch;
   }
 
-  private static boolean writtenAlready(Slice s, Batch batch) {
-    for (Write w : batch.writes()) {
-      if (w.key().equals(s.key())
-          || s.claims.keySet().stream().anyMatch(from -> w.key().equals(from.key()))) {
-        return true;
-      }
+  /** Whether a shard's changes may be written now; what can't ever be any more is dropped. */
+  private boolean mayGo(int shard, Runnable dropped) {
+    if (membership.commitsFor(shard)) {
+      return true;
+    }
+    if (!membership.owned().contains(shard)) {
+      dropped.run();
     }
     return false;
   }
 
+  /** Changes one field of a packed key; null takes it away. */
+  private void put(Batch batch, String key, String field, String value) {
+    Map<String, Object> data = batch.packed.get(key);
+    if (data == null) {
+      data = new HashMap<>(slices.data(key));
+      batch.packed.put(key, data);
+      batch.conditions.put(key, ledger.stamp(key));
+      batch.bytes += slices.bytes(key);
+    }
+    if (value == null) {
+      data.remove(field);
+    } else {
+      data.put(field, value);
+      batch.bytes += value.length() + field.length();
+    }
+  }
+
   /** Whether all tasks that a slice is to take over are still free where they are taken from. */
   private boolean claimsStand(Slice s) {
     for (Map.Entry<Slice, BitSet> claim : s.claims.entrySet()) {
       Slice from = claim.getKey();
       if (slices.get(from.shard(), from.job()) != from
+          || dirty.contains(from)
           || !claim.getValue().stream().allMatch(from::isTodo)) {
         return false;
       }
@@ -192,7 +341,7 @@
 
   private void shardCondition(int shard, Batch batch) {
     String key = Membership.shardKey(shard);
-    batch.conditions().put(key, ledger.stamp(key));
+    batch.conditions.put(key, ledger.stamp(key));
   }
 
   /** Starts of a job that is over are not written any more. */
@@ -205,78 +354,92 @@
     s.claims.clear();
   }
 
-  private int gather(Slice s, Job job, Batch batch) {
+  private void gather(Slice s, Batch batch) {
+    Job job = jobs.active(s.job());
+    if (job == null) {
+      dropStarts(s);
+    }
+    if (!claimsStand(s) || (job != null && s.starts() && !slices.zonesStand(job.spec()))) {
+      // Other shards have started some of the job's tasks since: what was decided is dropped.
+      reload(s);
+      return;
+    }
     List<Attempt> live = new ArrayList<>();
     List<Attempt> closed = new ArrayList<>();
     for (Attempt a : s.out.values()) {
       (a.closed ? closed : live).add(a);
     }
-    if (job == null && live.isEmpty()) {
-      // Nothing of a job that is over is on a machine any more: its record goes.
-      batch.writes().add(Write.delete(s.key()));
-    } else {
-      batch.writes().add(Write.put(s.key(), s.record()));
+    // Nothing of a job that is over is on a machine any more: its record goes.
+    String record = job == null && live.isEmpty() ? null : s.record();
+    Map<String, Object> data = batch.packed.get(s.key());
+    int size =
+        (data == null ? slices.bytes(s.key()) : SliceBook.bytes(data))
+            + (record == null ? 0 : record.length() + s.job().length() + SliceBook.FIELD_BYTES);
+    if (s.starts() && size > settings.stateLimits().valueBytes()) {
+      // The part is full: its tasks wait until others have ended, or are claimed.
+      reload(s);
+      s.restUntilMicros = nowMicros + END_WAIT_MICROS;
+      return;
     }
-    batch.conditions().put(s.key(), s.stamp);
+    Set<String> keys = new HashSet<>();
+    keys.add(s.key());
+    keys.add(Membership.shardKey(s.shard()));
+    put(batch, s.key(), s.job(), record);
     shardCondition(s.shard(), batch);
     for (Attempt a : closed) {
       if (a.lapsed) {
         // Another controller may have begun to renew leases in our place: then nothing lapsed.
-        batch.conditions().merge(Membership.careKey(s.shard()), a.careStamp, Math::min);
+        batch.conditions.merge(Membership.careKey(s.shard()), a.careStamp, Math::min);
+        keys.add(Membership.careKey(s.shard()));
       }
     }
     if (job != null && s.starts()) {
       // A cancellation that is committed before this start makes the start fail.
-      batch.conditions().put(Job.key(s.job()), job.stamp());
+      batch.conditions.put(Job.key(s.job()), job.stamp());
+      keys.add(Job.key(s.job()));
       if (job.spec().scatter() || job.spec().together()) {
-        // Where a job's tasks may go depends on where its others are, in whichever slice.
-        for (int shard = 0; shard < membership.shards(); shard++) {
-          Slice other = slices.get(shard, s.job());
-          if (shard != s.shard()) {
-            batch.conditions().put(Slice.key(shard, s.job()), other == null ? 0L : other.stamp);
+        // Where a job's tasks may go depends on where its others are, in whichever slice. A slice
+        // that is not known here came from one that is, whose part was written with it.
+        for (Slice other : slices.of(s.job())) {
+          if (other != s) {
+            batch.conditions.put(other.key(), ledger.stamp(other.key()));
+            keys.add(other.key());
           }
         }
       }
     }
     for (Map.Entry<Slice, BitSet> claim : s.claims.entrySet()) {
       Slice from = claim.getKey();
-      Map<String, Object> record = from.record();
       BitSet left = (BitSet) from.assigned.clone();
       left.andNot(claim.getValue());
-      record.put("a", Ranges.text(left));
-      batch.writes().add(Write.put(from.key(), record));
-      batch.conditions().put(from.key(), from.stamp);
-    }
-    batch
-        .slices()
-        .add(new Caught(s, s.version, (BitSet) s.done.clone(), live, closed, Map.copyOf(s.claims)));
-    return 200 + 24 * live.size() + 12 * s.claims.size();
+      put(batch, from.key(), from.job(), from.record(left));
+      keys.add(from.key());
+    }
+    batch.slices.add(
+        new Caught(
+            s, s.version, (BitSet) s.done.clone(), live, closed, Map.copyOf(s.claims), keys));
   }
 
   private void finished(Outcome outcome) {
     Batch batch = inFlight;
-    inFlight = null;
-    held.clear();
     switch (outcome.result()) {
       case DONE -> {
-        batch.slices().forEach(c -> saved(c, outcome.epoch()));
-        batch.extras().forEach(e -> e.then().accept(true));
+        inFlight = null;
+        batch.packed.forEach(slices::wrote);
+        batch.slices.forEach(this::saved);
+        batch.extras.forEach(e -> e.then().accept(true));
+        batch.edits.forEach(e -> e.then().accept(true));
+        batch.packed.keySet().forEach(this::sync);
       }
       case CONFLICT -> {
         LOG.info("records changed elsewhere: {}", outcome.failed());
         waiting = true;
+        inFlight = null;
         ledger.whenAt(
             outcome.epoch(),
             () -> {
               waiting = false;
-              reload(batch);
-              for (Extra e : batch.extras()) {
-                if (outcome.failed().stream().anyMatch(e.conditions()::containsKey)) {
-                  e.then().accept(false);
-                } else {
-                  extras.add(e);
-                }
-              }
+              conflict(batch, outcome.failed());
               afterCommit.run();
             });
         return;
@@ -284,27 +447,52 @@
       case UNKNOWN -> {
         // It may have been carried out, or may be later: a new stamp on each shard's key makes
         // that impossible, then the copy tells what was.
+        inFlight = null;
         TreeSet<Integer> shards = new TreeSet<>();
-        batch.slices().forEach(c -> shards.add(c.slice().shard()));
-        batch.extras().forEach(e -> shards.add(e.shard()));
+        batch.slices.forEach(c -> shards.add(c.slice().shard()));
+        batch.extras.forEach(e -> shards.add(e.shard()));
+        batch.edits.forEach(e -> shards.add(e.shard()));
         LOG.info("a transaction for shards {} got no answer", shards);
         shards.forEach(membership::unclear);
-        extras.addAll(batch.extras());
+        extras.addAll(batch.extras);
+        edits.addAll(batch.edits);
+        batch.packed.keySet().forEach(this::sync);
       }
       default -> {
+        inFlight = null;
         nextMicros = nowMicros + PAUSE_MICROS;
-        extras.addAll(batch.extras());
+        extras.addAll(batch.extras);
+        edits.addAll(batch.edits);
+        batch.packed.keySet().forEach(this::sync);
       }
     }
     afterCommit.run();
   }
 
-  private void saved(Caught c, long epoch) {
+  /** Drops what was decided on keys that have changed; the rest of the batch goes again. */
+  private void conflict(Batch batch, List<String> failed) {
+    batch.packed.keySet().forEach(this::sync);
+    for (Caught c : batch.slices) {
+      if (failed.stream().anyMatch(c.keys()::contains) && dirty.contains(c.slice())) {
+        reload(c.slice());
+      }
+    }
+    for (Extra e : batch.extras) {
+      if (failed.stream().anyMatch(e.conditions()::containsKey)) {
+        e.then().accept(false);
+      } else {
+        extras.add(e);
+      }
+    }
+    edits.addAll(batch.edits);
+  }
+
+  private void saved(Caught c) {
     Slice s = c.slice();
     if (slices.get(s.shard(), s.job()) != s) {
       return;
     }
-    s.stamp = epoch;
+    s.recorded = true;
     s.savedDone = c.done();
     for (Attempt a : c.live()) {
       if (!a.committed) {
@@ -317,33 +505,40 @@
         .forEach(
             (from, tasks) -> {
               s.claims.remove(from);
-              slices.load(from.shard(), from.job(), jobs.active(from.job()));
+              slices.load(from.key(), from.shard(), from.job(), jobs.active(from.job()));
             });
     if (s.version == c.version()) {
       dirty.remove(s);
+      s.dirtySinceMicros = 0;
     }
-    Ledger.Entry now = ledger.get(s.key());
-    if (now == null) {
+    if (!slices.data(s.key()).containsKey(s.job())) {
       dirty.remove(s);
-      slices.load(s.shard(), s.job(), jobs.active(s.job()));
-    } else if (now.stamp() > epoch) {
-      reload(s);
+      slices.load(s.key(), s.shard(), s.job(), jobs.active(s.job()));
     }
   }
 
-  private void reload(Batch batch) {
-    for (Caught c : batch.slices()) {
-      reload(c.slice());
-      c.claims()
-          .keySet()
-          .forEach(from -> slices.load(from.shard(), from.job(), jobs.active(from.job())));
+  /** Takes in what has changed in a part, unless it is being written: then once that has ended. */
+  void sync(String key) {
+    boolean machines = !key.startsWith(Slice.KEYS);
+    if (machines || (inFlight != null && inFlight.packed.containsKey(key))) {
+      return;
     }
+    slices.sync(
+        key,
+        (part, shard, id) -> {
+          Slice s = slices.get(shard, id);
+          if (s != null && membership.owned().contains(shard)) {
+            reload(s);
+          } else {
+            slices.load(part, shard, id, jobs.active(id));
+          }
+        });
   }
 
   /** Reads a slice anew; what was only decided is dropped, ends that were seen are kept. */
-  void reload(Slice s) {
+  private void reload(Slice s) {
     dirty.remove(s);
-    Slice now = slices.load(s.shard(), s.job(), jobs.active(s.job()));
+    Slice now = slices.load(s.key(), s.shard(), s.job(), jobs.active(s.job()));
     if (now != null && membership.owned().contains(now.shard())) {
       boolean ended = now.out.values().stream().anyMatch(a -> a.closed);
       if (ended || (jobs.active(now.job()) == null && now.out.isEmpty())) {
@@ -359,23 +554,18 @@
 
   /** A shard has become ours, or its unclear commits have been settled. */
   public void gained(int shard) {
-    dirty.removeIf(s -> s.shard() == shard);
-    Set<String> ids = new LinkedHashSet<>();
-    slices.of(shard).forEach(s -> ids.add(s.job()));
-    String prefix = Slice.KEYS + shard + "/";
-    ledger.under(prefix).keySet().forEach(k -> ids.add(k.substring(prefix.length())));
-    for (String id : ids) {
-      Slice s = slices.load(shard, id, jobs.active(id));
-      if (s != null) {
-        reload(s);
-      }
+    for (String key : List.copyOf(ledger.under(Slice.prefix(shard)).keySet())) {
+      sync(key);
+    }
+    for (Slice s : List.copyOf(slices.of(shard))) {
+      reload(s);
     }
   }
 
   public void lost(int shard) {
     dirty.removeIf(s -> s.shard() == shard);
     for (Slice s : List.copyOf(slices.of(shard))) {
-      slices.load(shard, s.job(), jobs.active(s.job()));
+      slices.load(s.key(), shard, s.job(), jobs.active(s.job()));
     }
   }
 }
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -32,6 +32,9 @@
 
   private static final long LAPSE_MARGIN_MICROS = 300_000;
 
+  /** After so many answers that a worker did not get, its tasks are started elsewhere. */
+  private static final int MOST_MISSED = 2;
+
   private final Settings settings;
   private final Membership membership;
   private final JobBook jobs;
@@ -77,6 +80,10 @@
     return was;
   }
 
+  public boolean isChanged() {
+    return changed;
+  }
+
   public Estimates estimates() {
     return estimates;
   }
@@ -116,24 +123,10 @@
     }
   }
 
-  /** A slice's record has changed in the copy. */
+  /** A part of a shard's record has changed in the copy. */
   public void recordChanged(String key) {
-    String rest = key.substring(Slice.KEYS.length());
-    int slash = rest.indexOf('/');
-    int shard = Integer.parseInt(rest.substring(0, slash));
-    String id = rest.substring(slash + 1);
-    Slice s = slices.get(shard, id);
     changed = true;
-    if (s != null && recorder.busy(s)) {
-      return;
-    }
-    if (s != null && membership.owned().contains(shard)) {
-      if (s.stamp != slices.recordStamp(key)) {
-        recorder.reload(s);
-      }
-      return;
-    }
-    slices.recordChanged(shard, id, jobs.active(id));
+    recorder.sync(key);
   }
 
   private void stopAll(Slice s) {
@@ -224,12 +217,22 @@
         continue;
       }
       boolean wanted = !a.killed() && jobs.active(a.slice().job()) != null;
+      if (a.sentTenure != 0 && report.after(a.sentTenure, a.sentTick)) {
+        // The answer to that report was taken in before this one was sent, or never will be.
+        a.missed++;
+      }
       if (a.seen != Attempt.Seen.NOT_YET || !wanted) {
         if (fresh || !a.sent) {
           gone(a, "no longer reported");
         }
+      } else if (a.missed >= MOST_MISSED && fresh) {
+        // Its reports come, and our answers don't get there: it must not wait here for ever.
+        worker.deaf(nowMicros, nowMicros + settings.workers().leaseMicros());
+        gone(a, "never taken up");
       } else {
         a.sent = true;
+        a.sentTenure = report.tenure();
+        a.sentTick = report.tick();
         runs.add(order("run", a.name(), a.number(), 0));
       }
     }
@@ -239,8 +242,23 @@
     return orders;
   }
 
+  /** A machine has begun anew: what it doesn't list is gone with its former life. */
+  public void restarted(Worker worker, Report now) {
+    Set<String> listed = new HashSet<>();
+    now.tasks().forEach(t -> listed.add(t.name()));
+    for (Attempt a : List.copyOf(worker.attempts().values())) {
+      boolean ours = membership.owned().contains(a.slice().shard());
+      if (ours && a.sent && a.committed && !a.closed && !listed.contains(a.name())) {
+        gone(a, "machine begun anew");
+      }
+    }
+  }
+
   private void seen(Worker worker, Attempt a, String phase) {
     a.sent = true;
+    if (a.seen == Attempt.Seen.NOT_YET && a.sentTenure != 0) {
+      worker.hears();
+    }
     switch (phase) {
       case "fetching" -> a.seen = Attempt.Seen.FETCHING;
       case "waiting" -> a.seen = Attempt.Seen.WAITING;
@@ -334,12 +352,16 @@
           continue;
         }
         Worker w = workers.get(a.host());
-        if (w == null || w.stamp() == 0) {
+        if (w == null || !w.entered()) {
           // The key goes only after the cloud has confirmed the release.
           gone(a, "machine released");
           continue;
         }
-        long since = Math.max(w.answeredMicros(), membership.sinceMicros(shard));
+        // An attempt younger than a lease can't have lapsed: on a new machine, whose first report
+        // waits for its answer, nothing has been answered yet.
+        long since =
+            Math.max(
+                Math.max(w.answeredMicros(), a.decidedMicros()), membership.sinceMicros(shard));
         if (nowMicros - Math.max(since, caredUntil) > lease) {
           a.lapsed = true;
           a.careStamp = membership.careStamp(shard);
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -1,6 +1,5 @@
 package gladeknot.placement;
 
-import gladeknot.http.Json;
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobSpec;
 import gladeknot.ledger.Ledger;
@@ -19,6 +18,17 @@
 public final class Slice {
   public static final String KEYS = Ledger.ROOT + "sl/";
 
+  /**
+   * A shard's record is cut into parts, each with many slices: few enough that one write serves
+   * many starts and ends, enough of them that a full shard stays below the largest value. Gangs and
+   * services, which change seldom, lie apart from arrays: starts of spread jobs are conditional on
+   * them.
+   */
+  private static final int ARRAY_PARTS = 3;
+
+  private static final int WHOLE_PARTS = 2;
+
+  private final String key;
   private final int shard;
   private final String job;
   private final int shards;
@@ -35,7 +45,9 @@
   final Map<Slice, BitSet> claims = new java.util.LinkedHashMap<>();
 
   long counter;
-  long stamp;
+
+  /** Whether the ledger has a record of it. */
+  boolean recorded;
 
   /** Tasks that are done by its record. */
   BitSet savedDone = new BitSet();
@@ -43,6 +55,9 @@
   /** Grows with each change, so that a commit knows whether it caught the last one. */
   long version;
 
+  /** Since when it has something to write; 0 if it hasn't. */
+  long dirtySinceMicros;
+
   /** No task of it starts before this, after failures that were its own. */
   long restUntilMicros;
 
@@ -51,7 +66,8 @@
   /** When its first task that could start began to wait; 0 if none waits. */
   long waitingSinceMicros;
 
-  Slice(int shard, int shards, String job) {
+  Slice(String key, int shard, int shards, String job) {
+    this.key = key;
     this.shard = shard;
     this.shards = shards;
     this.job = job;
@@ -89,12 +105,26 @@
     return savedDone;
   }
 
+  /** The part of its shard's record that it lies in. */
   public String key() {
-    return key(shard, job);
+    return key;
+  }
+
+  static String key(int shard, JobSpec spec) {
+    int hash = spec.id().hashCode();
+    String part =
+        spec.whole()
+            ? "w" + Math.floorMod(hash, WHOLE_PARTS)
+            : "a" + Math.floorMod(hash, ARRAY_PARTS);
+    return prefix(shard) + part;
+  }
+
+  static String prefix(int shard) {
+    return KEYS + shard + "/";
   }
 
-  public static String key(int shard, String job) {
-    return KEYS + shard + "/" + job;
+  static int shardOf(String key) {
+    return Integer.parseInt(key.substring(KEYS.length(), key.indexOf('/', KEYS.length())));
   }
 
   /** The tasks that the even split gives to a shard; gangs and services stay whole. */
@@ -128,30 +158,35 @@
     assigned.or(share(from.spec(), from.home(), shard, shards));
     done.clear();
     savedDone = new BitSet();
-    stamp = 0;
+    recorded = false;
   }
 
   /** Sets it to its record; the attempts are returned, for the caller to take in. */
-  List<Attempt> read(Ledger.Entry entry, long nowMicros) {
-    Map<String, Object> data = entry.data();
-    stamp = entry.stamp();
-    team = Json.text(data, "t");
-    cpus = Json.num(data, "c", 0);
-    gpus = Json.num(data, "g", 0);
-    memory = Json.num(data, "m", 0);
-    counter = Math.max(counter, Json.num(data, "n", 0));
+  List<Attempt> read(String record, long nowMicros) {
+    String[] f = record.split("\\|", -1);
+    recorded = true;
+    team = f[0];
+    cpus = Long.parseLong(f[1]);
+    gpus = Long.parseLong(f[2]);
+    memory = Long.parseLong(f[3]);
+    counter = Math.max(counter, Long.parseLong(f[4]));
     assigned.clear();
-    assigned.or(Ranges.parse(Json.text(data, "a")));
+    assigned.or(Ranges.parse(f[5]));
     done.clear();
-    done.or(Ranges.parse(Json.text(data, "d")));
+    done.or(Ranges.parse(f[6]));
     savedDone = (BitSet) done.clone();
     List<Attempt> attempts = new ArrayList<>();
-    String text = Json.text(data, "o");
-    if (text != null && !text.isEmpty()) {
-      for (String part : text.split(",")) {
-        String[] f = part.split(":");
+    if (!f[7].isEmpty()) {
+      for (String part : f[7].split(",")) {
+        int first = part.indexOf(':');
+        int second = part.indexOf(':', first + 1);
         Attempt a =
-            new Attempt(this, Integer.parseInt(f[0]), Long.parseLong(f[1]), f[2], nowMicros);
+            new Attempt(
+                this,
+                Integer.parseInt(part.substring(0, first)),
+                Long.parseLong(part.substring(first + 1, second)),
+                part.substring(second + 1),
+                nowMicros);
         a.committed = true;
         // Whether its run was sent is not recorded: it may have been.
         a.sent = true;
@@ -162,26 +197,26 @@
     return attempts;
   }
 
-  /** The record as it is to be. */
-  Map<String, Object> record() {
-    StringBuilder handedOut = new StringBuilder();
+  /** Its record as it is to be. */
+  String record() {
+    return record(assigned);
+  }
+
+  /** Its record with other tasks assigned. */
+  String record(BitSet tasks) {
+    StringBuilder text = new StringBuilder(120);
+    text.append(team).append('|').append(cpus).append('|').append(gpus).append('|');
+    text.append(memory).append('|').append(counter).append('|');
+    text.append(Ranges.text(tasks)).append('|').append(Ranges.text(done)).append('|');
+    boolean first = true;
     for (Attempt a : out.values()) {
       if (!a.closed) {
-        if (handedOut.length() > 0) {
-          handedOut.append(',');
-        }
-        handedOut.append(a.task()).append(':').append(a.number()).append(':').append(a.host());
+        text.append(first ? "" : ",").append(a.task()).append(':').append(a.number());
+        text.append(':').append(a.host());
+        first = false;
       }
     }
-    return Json.of(
-        "n", counter,
-        "a", Ranges.text(assigned),
-        "d", Ranges.text(done),
-        "o", handedOut.toString(),
-        "t", team,
-        "c", cpus,
-        "g", gpus,
-        "m", memory);
+    return text.toString();
   }
 
   /** A number that no attempt of the job had, in any shard. */
--- a/src/main/java/gladeknot/placement/SliceBook.java
+++ b/src/main/java/gladeknot/placement/SliceBook.java
@@ -10,22 +10,30 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.IntPredicate;
 
 /** All slices of jobs that go on or still have tasks on machines. */
 public final class SliceBook {
+  /** Quotes, colon and comma of a field. */
+  static final int FIELD_BYTES = 6;
+
   private final int shards;
   private final Ledger ledger;
   private final WorkerBook workers;
-  private final IntPredicate owned;
   private final List<Map<String, Slice>> byShard = new ArrayList<>();
+
+  /** The parts of records from which the slices were loaded. */
+  private final Map<String, Map<String, Object>> seen = new HashMap<>();
+
+  private record Sized(Map<String, Object> data, int bytes) {}
+
+  private final Map<String, Sized> sizes = new HashMap<>();
+
   private long nowMicros;
 
-  public SliceBook(int shards, Ledger ledger, WorkerBook workers, IntPredicate owned) {
+  public SliceBook(int shards, Ledger ledger, WorkerBook workers) {
     this.shards = shards;
     this.ledger = ledger;
     this.workers = workers;
-    this.owned = owned;
     for (int i = 0; i < shards; i++) {
       byShard.add(new HashMap<>());
     }
@@ -79,39 +87,85 @@
         && (!spec.scatter() || counts.values().stream().allMatch(n -> n <= spec.perZone()));
   }
 
-  /** The stamp that the followed copy has for a record. */
-  long recordStamp(String key) {
-    return ledger.stamp(key);
-  }
-
   /** A job has begun, changed or ended. */
   void jobChanged(String id, Job job) {
     for (int shard = 0; shard < shards; shard++) {
       Slice s = get(shard, id);
       if (job != null && job.active()) {
         if (s == null && !Slice.share(job.spec(), job.home(), shard, shards).isEmpty()) {
-          load(shard, id, job);
+          load(Slice.key(shard, job.spec()), shard, id, job);
         }
-      } else if (s != null && s.stamp == 0) {
+      } else if (s != null && !s.recorded) {
         drop(s);
       }
     }
   }
 
-  /** A record has changed; for working copies the caller decides when to reload. */
-  void recordChanged(int shard, String id, Job job) {
-    Slice s = get(shard, id);
-    if (s == null || s.stamp < ledger.stamp(Slice.key(shard, id)) || !owned.test(shard)) {
-      load(shard, id, job);
+  /** Hears of a slice whose record is not what it was loaded from. */
+  interface Changed {
+    void changed(String key, int shard, String id);
+  }
+
+  /** Looks for slices whose records in a part differ from what was seen of it last. */
+  void sync(String key, Changed changed) {
+    Map<String, Object> before = seen.getOrDefault(key, Map.of());
+    Map<String, Object> now = data(key);
+    if (before == now) {
+      return;
+    }
+    seen.put(key, now);
+    int shard = Slice.shardOf(key);
+    List<String> ids = new ArrayList<>();
+    now.forEach(
+        (id, text) -> {
+          if (!text.equals(before.get(id))) {
+            ids.add(id);
+          }
+        });
+    for (String id : before.keySet()) {
+      if (!now.containsKey(id)) {
+        ids.add(id);
+      }
+    }
+    ids.forEach(id -> changed.changed(key, shard, id));
+  }
+
+  /** A part is now what was written to it. */
+  void wrote(String key, Map<String, Object> data) {
+    seen.put(key, data);
+  }
+
+  /** A part of a shard's record as the followed copy has it: records by job. */
+  Map<String, Object> data(String key) {
+    Ledger.Entry entry = ledger.get(key);
+    return entry == null ? Map.of() : entry.data();
+  }
+
+  /** About how many bytes a part takes. */
+  int bytes(String key) {
+    Map<String, Object> data = data(key);
+    Sized known = sizes.get(key);
+    if (known == null || known.data() != data) {
+      known = new Sized(data, bytes(data));
+      sizes.put(key, known);
+    }
+    return known.bytes();
+  }
+
+  static int bytes(Map<String, Object> data) {
+    int sum = 0;
+    for (Map.Entry<String, Object> e : data.entrySet()) {
+      sum += e.getKey().length() + ((String) e.getValue()).length() + FIELD_BYTES;
     }
+    return sum;
   }
 
   /** Reads a slice anew from the copy, keeping what is known of attempts that are still in it. */
-  Slice load(int shard, String id, Job job) {
+  Slice load(String key, int shard, String id, Job job) {
     Slice s = get(shard, id);
-    Ledger.Entry entry = ledger.get(Slice.key(shard, id));
+    String record = (String) data(key).get(id);
     boolean active = job != null && job.active();
-    if (entry == null
+    if (record == null
         && (!active || Slice.share(job.spec(), job.home(), shard, shards).isEmpty())) {
       if (s != null) {
         drop(s);
@@ -119,7 +173,7 @@
       return null;
     }
     if (s == null) {
-      s = new Slice(shard, shards, id);
+      s = new Slice(key, shard, shards, id);
       byShard.get(shard).put(id, s);
     }
     Map<Integer, Attempt> before = new HashMap<>(s.out);
@@ -127,11 +181,12 @@
     s.out.clear();
     s.claims.clear();
     s.version++;
-    if (entry == null) {
+    s.dirtySinceMicros = 0;
+    if (record == null) {
       s.reset(job);
       return s;
     }
-    for (Attempt a : s.read(entry, nowMicros)) {
+    for (Attempt a : s.read(record, nowMicros)) {
       Attempt old = before.get(a.task());
       boolean same = old != null && old.number() == a.number() && old.host().equals(a.host());
       if (same) {
@@ -149,14 +204,14 @@
 
   /** An empty slice, to take claimed tasks. */
   Slice create(int shard, Job job) {
-    Slice s = new Slice(shard, shards, job.id());
+    Slice s = new Slice(Slice.key(shard, job.spec()), shard, shards, job.id());
     s.usage(job.spec());
     byShard.get(shard).put(job.id(), s);
     return s;
   }
 
   void discardIfEmpty(Slice s) {
-    if (s.stamp == 0 && s.assigned.isEmpty() && s.out.isEmpty()) {
+    if (!s.recorded && s.assigned.isEmpty() && s.out.isEmpty()) {
       byShard.get(s.shard()).remove(s.job(), s);
     }
   }
--- /dev/null
+++ b/src/main/java/gladeknot/placement/Urgency.java
@@ -0,0 +1,145 @@
+package gladeknot.placement;
+
+import gladeknot.jobs.Job;
+import gladeknot.jobs.JobBook;
+import gladeknot.settings.Settings;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+
+/**
+ * In which order jobs with deadlines are served when not all of them can be in time.
+ *
+ * <p>By due time alone, an overload makes every job late by a little. So jobs are taken in by due
+ * time as long as the machines that serve such work now can finish all of them in time; when one
+ * would be late, the largest taken in so far is put off: that keeps the most jobs in time. Those
+ * put off are looked at again by the class's next deadline, and after that go by age.
+ */
+final class Urgency {
+  /** Keys of work that is late for all its deadlines begin here. */
+  static final long LATE_KEY = Long.MAX_VALUE / 4;
+
+  private static final long AGAIN_MICROS = 300_000;
+
+  /** From the end of a task to the answer that tells of it. */
+  private static final long TOLD_MICROS = 3_000_000;
+
+  /** What lies between a decision and a task at work. */
+  private static final long START_MICROS = 1_500_000;
+
+  private record Entry(Job job, long workMicros, long runMicros, long dueMicros) {}
+
+  private final JobBook jobs;
+  private final SliceBook slices;
+  private final Estimates estimates;
+  private final List<Double> times;
+  private final Map<String, Map<Double, Boolean>> known = new HashMap<>();
+  private final Map<String, Long> keys = new HashMap<>();
+  private long nextMicros;
+  private long seenChanges = -1;
+
+  Urgency(Settings settings, JobBook jobs, SliceBook slices, Estimates estimates) {
+    this.jobs = jobs;
+    this.slices = slices;
+    this.estimates = estimates;
+    Set<Double> all = new HashSet<>();
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.kind().equals("deadline")) {
+        known.computeIfAbsent(o.jobClass(), c -> new HashMap<>()).put(o.times(), true);
+        all.add(o.times());
+      }
+    }
+    times = all.stream().sorted().toList();
+  }
+
+  /** The order of a job among those of its rank; lower goes first. */
+  long key(Job job) {
+    if (job.spec().dueMicros() == 0) {
+      return LATE_KEY - 1;
+    }
+    Long key = keys.get(job.id());
+    return key == null ? job.submittedMicros() + job.spec().dueMicros() : key;
+  }
+
+  /** Works the order out anew, now and then. */
+  void refresh(long nowMicros, long wallMicros) {
+    if (nowMicros < nextMicros && seenChanges == jobs.changes()) {
+      return;
+    }
+    nextMicros = nowMicros + AGAIN_MICROS;
+    seenChanges = jobs.changes();
+    keys.clear();
+    List<Job> open = new ArrayList<>();
+    int slots = 0;
+    for (Job job : jobs.active()) {
+      if (job.spec().dueMicros() > 0) {
+        open.add(job);
+        for (Slice s : slices.of(job.id())) {
+          slots += s.live();
+        }
+      }
+    }
+    long doneWork = 0;
+    for (int i = 0; i < times.size() && !open.isEmpty(); i++) {
+      List<Job> late = new ArrayList<>();
+      doneWork = takeIn(open, times.get(i), i, Math.max(1, slots), doneWork, wallMicros, late);
+      open = late;
+    }
+    for (Job job : open) {
+      keys.put(job.id(), LATE_KEY + job.submittedMicros());
+    }
+  }
+
+  private long takeIn(
+      List<Job> open, double time, int tier, int slots, long before, long wall, List<Job> late) {
+    List<Entry> entries = new ArrayList<>();
+    for (Job job : open) {
+      if (known.getOrDefault(job.spec().jobClass(), Map.of()).containsKey(time)) {
+        long run = estimates.runMicros(job.spec());
+        long due = job.submittedMicros() + (long) (job.spec().dueMicros() * time) - TOLD_MICROS;
+        entries.add(new Entry(job, (run + START_MICROS) * todo(job), run, due));
+      } else {
+        late.add(job);
+      }
+    }
+    entries.sort(Comparator.comparingLong(Entry::dueMicros).thenComparing(e -> e.job().id()));
+    PriorityQueue<Entry> taken =
+        new PriorityQueue<>(
+            Comparator.comparingLong(Entry::workMicros)
+                .reversed()
+                .thenComparing(e -> e.job().id()));
+    long work = before;
+    for (Entry e : entries) {
+      boolean alone = wall + START_MICROS + e.runMicros() <= e.dueMicros() || e.workMicros() == 0;
+      if (!alone) {
+        late.add(e.job());
+        continue;
+      }
+      taken.add(e);
+      work += e.workMicros();
+      if (wall + work / slots > e.dueMicros()) {
+        Entry largest = taken.poll();
+        work -= largest.workMicros();
+        late.add(largest.job());
+      }
+    }
+    for (Entry e : taken) {
+      // Tiers lie far apart: what can be in time for an earlier one goes first.
+      keys.put(e.job().id(), e.dueMicros() + tier * (LATE_KEY / 8));
+    }
+    return work;
+  }
+
+  private int todo(Job job) {
+    int sum = 0;
+    for (Slice s : slices.of(job.id())) {
+      sum += s.todoCount();
+    }
+    return sum;
+  }
+}
--- a/src/main/java/gladeknot/workers/Report.java
+++ b/src/main/java/gladeknot/workers/Report.java
@@ -34,6 +34,11 @@
     }
   }
 
+  /** Whether it is newer than the one of that session and tick. */
+  public boolean after(long otherTenure, long otherTick) {
+    return tenure > otherTenure || (tenure == otherTenure && tick > otherTick);
+  }
+
   /** Reads a report. */
   public static Report parse(Map<String, Object> m) throws Malformed {
     List<Task> tasks = new ArrayList<>();
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -1,6 +1,5 @@
 package gladeknot.workers;
 
-import gladeknot.http.Json;
 import gladeknot.ledger.Ledger;
 import gladeknot.placement.Attempt;
 import java.util.LinkedHashMap;
@@ -10,6 +9,11 @@
 public final class Worker {
   public static final String KEYS = Ledger.ROOT + "w/";
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  /** Stored for a machine that was released: its name never comes up again, copies of it may. */
+  public static final String RELEASED = "-";
+
   private final String host;
   private int shard;
   private String type = "";
@@ -17,11 +21,16 @@
   private boolean spot;
   private long rentedWallMicros;
   private boolean leaving;
-  private long stamp;
+  private boolean entered;
 
   private Report report;
   private long reportMicros;
-  private long answeredMicros = Long.MIN_VALUE / 2;
+  private long answeredMicros = NEVER;
+
+  /** The term of the last answer, and the answer before it that may have got there. */
+  private long answeredTerm;
+
+  private long answeredBefore = NEVER;
   private long recallAtMicros;
 
   /** Attempts by task name, for all shards as far as the followed copy tells. */
@@ -35,6 +44,9 @@
 
   public String lastErrorJob = "";
 
+  private int deafTimes;
+  private long askedMicros = NEVER;
+
   /** Nothing new before this. */
   public long restUntilMicros;
 
@@ -48,42 +60,116 @@
     this.host = host;
   }
 
+  /**
+   * The key that a machine lies in: those whose names differ in the last sign alone share one, so
+   * that a rental, which brings names in a row, takes few writes. A machine is in one key whatever
+   * its shard, so that no two shards can enter it.
+   */
   public static String key(String host) {
-    return KEYS + host;
+    return KEYS + host.substring(0, host.length() - 1) + "-";
+  }
+
+  /** Its field in that key. */
+  public static String field(String host) {
+    return host.substring(host.length() - 1);
+  }
+
+  /** The machine that a field of a key is about. */
+  static String host(String key, String field) {
+    return key.substring(KEYS.length(), key.length() - 1) + field;
   }
 
   /** What is stored for a machine. */
-  public static Map<String, Object> record(
+  public static String record(
       int shard, String type, String zone, boolean spot, long rentedWallMicros, boolean leaving) {
-    return Json.of(
-        "s", shard, "t", type, "z", zone, "p", spot, "r", rentedWallMicros, "x", leaving);
+    return shard
+        + "|"
+        + type
+        + "|"
+        + zone
+        + "|"
+        + (spot ? "s" : "o")
+        + "|"
+        + rentedWallMicros
+        + "|"
+        + (leaving ? "x" : "");
   }
 
-  public Map<String, Object> record(int inShard, boolean isLeaving) {
+  public String record(int inShard, boolean isLeaving) {
     return record(inShard, type, zone, spot, rentedWallMicros, isLeaving);
   }
 
-  void read(Ledger.Entry entry) {
-    Map<String, Object> d = entry.data();
-    shard = (int) Json.num(d, "s", 0);
-    type = Json.text(d, "t");
-    zone = Json.text(d, "z");
-    spot = Json.flag(d, "p");
-    rentedWallMicros = Json.num(d, "r", 0);
-    leaving = Json.flag(d, "x");
-    stamp = entry.stamp();
+  /** Its record as the followed copy has it; null if it isn't entered. */
+  public String record() {
+    return entered ? record(shard, leaving) : null;
+  }
+
+  void read(String record) {
+    String[] f = record.split("\\|", -1);
+    shard = Integer.parseInt(f[0]);
+    type = f[1];
+    zone = f[2];
+    spot = f[3].equals("s");
+    rentedWallMicros = Long.parseLong(f[4]);
+    leaving = f[5].equals("x");
+    entered = true;
+  }
+
+  /** Its record has gone, and with it the machine. */
+  void gone() {
+    entered = false;
+    leaving = true;
   }
 
   void report(Report newest, long nowMicros) {
+    if (newest.token() < answeredTerm) {
+      // It has not seen the token of our last answer: that got lost, and renewed no lease.
+      answeredMicros = answeredBefore;
+      answeredTerm = 0;
+    }
     report = newest;
     reportMicros = nowMicros;
     recallAtMicros = newest.recallS() < 0 ? 0 : nowMicros + (long) (newest.recallS() * 1e6);
   }
 
-  void answered(long nowMicros) {
+  void answered(long nowMicros, long term) {
+    if (answeredTerm == 0 || report.token() >= answeredTerm) {
+      answeredBefore = answeredMicros;
+    }
+    answeredTerm = term;
     answeredMicros = nowMicros;
   }
 
+  /** Notes that our answers don't reach it: nothing new goes there for a while. */
+  public void deaf(long nowMicros, long untilMicros) {
+    deafTimes++;
+    restUntilMicros = Math.max(restUntilMicros, untilMicros);
+  }
+
+  /** Notes that a command of ours was carried out. */
+  public void hears() {
+    deafTimes = 0;
+  }
+
+  public int deafTimes() {
+    return deafTimes;
+  }
+
+  /** Whether its state is worth asking for: what it sends is older than what it has sent. */
+  boolean mayAsk(long nowMicros, long gapMicros) {
+    if (nowMicros < askedMicros + gapMicros) {
+      return false;
+    }
+    askedMicros = nowMicros;
+    return true;
+  }
+
+  /** It has begun anew, without what was on it: older sessions count no more. */
+  void restarted() {
+    report = null;
+    answeredTerm = 0;
+  }
+
   /** Notes an image that it has, forgetting those used longest ago when they don't fit. */
   public void hasImage(String image, double gb, double cacheGb) {
     images.put(image, gb);
@@ -107,7 +193,9 @@
   void forget() {
     report = null;
     reportMicros = 0;
-    answeredMicros = Long.MIN_VALUE / 2;
+    answeredMicros = NEVER;
+    answeredBefore = NEVER;
+    answeredTerm = 0;
     recallAtMicros = 0;
   }
 
@@ -139,8 +227,9 @@
     return leaving;
   }
 
-  public long stamp() {
-    return stamp;
+  /** Whether the ledger has it. */
+  public boolean entered() {
+    return entered;
   }
 
   public Report report() {
@@ -160,9 +249,14 @@
     return recallAtMicros;
   }
 
-  /** Whether something decided for it waits to be committed. */
-  boolean commitsPending() {
-    return attempts.values().stream().anyMatch(a -> a.closed() || !a.committed());
+  /** Whether a start decided for it waits to be committed. */
+  boolean startsPending() {
+    for (Attempt a : attempts.values()) {
+      if (!a.closed() && !a.committed()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   public Map<String, Attempt> attempts() {
--- a/src/main/java/gladeknot/workers/WorkerBook.java
+++ b/src/main/java/gladeknot/workers/WorkerBook.java
@@ -3,13 +3,17 @@
 import gladeknot.ledger.Ledger;
 import gladeknot.placement.Attempt;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** All machines, by name. */
 public final class WorkerBook {
   private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Map<Integer, Map<String, Worker>> byShard = new HashMap<>();
+  private final Set<String> released = new HashSet<>();
 
   public Worker get(String host) {
     return workers.get(host);
@@ -19,32 +23,66 @@
     return workers.values();
   }
 
-  public List<Worker> of(int shard) {
-    return workers.values().stream().filter(w -> w.shard() == shard && w.stamp() != 0).toList();
+  /** The machines of a shard that the ledger has. */
+  public Collection<Worker> of(int shard) {
+    return byShard.getOrDefault(shard, Map.of()).values();
   }
 
-  /** Takes in a change of a machine's key. */
-  public void changed(String key, Ledger.Entry entry) {
-    String host = key.substring(Worker.KEYS.length());
-    if (entry != null) {
-      Worker w = workers.computeIfAbsent(host, Worker::new);
-      int before = w.shard();
-      boolean known = w.stamp() != 0;
-      w.read(entry);
-      if (known && before != w.shard()) {
-        w.forget();
-      }
-    } else {
-      Worker w = workers.get(host);
-      if (w != null && w.attempts().isEmpty()) {
-        workers.remove(host);
-      } else if (w != null) {
-        w.read(
-            new Ledger.Entry(Map.of("t", w.type(), "z", w.zone(), "s", w.shard(), "x", true), 0));
+  /** Whether a machine was given back: what still comes in its name is a late copy. */
+  public boolean released(String host) {
+    return released.contains(host);
+  }
+
+  /** Takes in a change of a key of machines. */
+  public void changed(String key, Ledger.Entry before, Ledger.Entry now) {
+    Map<String, Object> old = before == null ? Map.of() : before.data();
+    Map<String, Object> data = now == null ? Map.of() : now.data();
+    data.forEach(
+        (field, record) -> {
+          if (!record.equals(old.get(field))) {
+            String host = Worker.host(key, field);
+            if (record.equals(Worker.RELEASED)) {
+              released.add(host);
+              gone(host);
+            } else {
+              entered(host, (String) record);
+            }
+          }
+        });
+    for (String field : old.keySet()) {
+      if (!data.containsKey(field)) {
+        gone(Worker.host(key, field));
       }
     }
   }
 
+  private void entered(String host, String record) {
+    Worker w = workers.computeIfAbsent(host, Worker::new);
+    int before = w.shard();
+    boolean known = w.entered();
+    w.read(record);
+    if (known && before != w.shard()) {
+      w.forget();
+      byShard.get(before).remove(host);
+    }
+    byShard.computeIfAbsent(w.shard(), s -> new LinkedHashMap<>()).put(host, w);
+  }
+
+  private void gone(String host) {
+    Worker w = workers.get(host);
+    if (w == null) {
+      return;
+    }
+    Map<String, Worker> shard = byShard.get(w.shard());
+    if (shard != null) {
+      shard.remove(host);
+    }
+    w.gone();
+    if (w.attempts().isEmpty()) {
+      workers.remove(host);
+    }
+  }
+
   /** Notes an attempt on its machine, known or not. */
   public void put(Attempt a) {
     workers.computeIfAbsent(a.host(), Worker::new).attempts().put(a.name(), a);
@@ -54,7 +92,7 @@
     Worker w = workers.get(a.host());
     if (w != null) {
       w.attempts().remove(a.name(), a);
-      if (w.stamp() == 0 && w.attempts().isEmpty()) {
+      if (!w.entered() && w.attempts().isEmpty()) {
         workers.remove(a.host());
       }
     }
@@ -62,6 +100,6 @@
 
   /** Forgets what a former owner's sessions of a shard said. */
   public void forget(int shard) {
-    workers.values().stream().filter(w -> w.shard() == shard).forEach(Worker::forget);
+    of(shard).forEach(Worker::forget);
   }
 }
--- a/src/main/java/gladeknot/workers/WorkerDesk.java
+++ b/src/main/java/gladeknot/workers/WorkerDesk.java
@@ -21,20 +21,29 @@
     /** The commands that follow from a report just taken in. */
     List<Map<String, Object>> orders(Worker worker, Report report);
 
-    /** Decides starts, if something has changed. */
-    void place();
+    /** Decides starts, now or soon; returns the number of the round that takes this report in. */
+    long place();
+
+    /** How many rounds of decisions there have been. */
+    long placed();
+
+    /** Takes in that a machine has lost what it had, but for what its state lists. */
+    void restarted(Worker worker, Report now);
 
     /** Makes an unexpected machine ours. */
     void adopt(Report report);
   }
 
   /** Far below what a worker waits for an answer, and above what a commit mostly takes. */
-  private static final long HOLD_MICROS = 150_000;
+  private static final long HOLD_MICROS = 400_000;
 
   /** A worker that comes again so soon has not got through to its controller. */
   private static final long BACK_MICROS = 12_000_000;
 
-  private record Held(long request, Worker worker, Report report, long untilMicros) {}
+  /** Between two questions to a machine whose reports look old. */
+  private static final long ASK_MICROS = 2_000_000;
+
+  private record Held(long request, Worker worker, Report report, long round, long untilMicros) {}
 
   private final Ledger ledger;
   private final Membership membership;
@@ -81,7 +90,7 @@
       return;
     }
     Worker worker = workers.get(report.host());
-    if (worker == null || worker.stamp() == 0) {
+    if (worker == null || !worker.entered()) {
       // Not in the ledger: rented by a request whose answer was lost, or the copy is behind.
       sync.adopt(report);
       outbox.comeBack(request, 503, "unknown machine", 1);
@@ -100,25 +109,58 @@
       return;
     }
     Report last = worker.report();
-    if (last != null
-        && (report.tenure() < last.tenure()
-            || (report.tenure() == last.tenure() && report.tick() <= last.tick()))) {
-      // A late copy: the worker has gone on, what this says is over.
+    if (last != null && !report.after(last.tenure(), last.tick())) {
+      // A late copy: the worker has gone on, what this says is over. Or the machine has begun
+      // anew, and counts from the start again: it is asked.
+      if (worker.mayAsk(nowMicros, ASK_MICROS)) {
+        ask(worker, report.endpoint());
+      }
       outbox.comeBack(request, 503, "older than a report already taken", 1);
       return;
     }
     worker.report(report, nowMicros);
     List<Map<String, Object>> orders = sync.orders(worker, report);
-    sync.place();
-    if (worker.commitsPending()) {
-      // A commit that concerns this worker is on its way: what follows from it goes with this
-      // answer, rather than with that to its next report.
-      held.add(new Held(request, worker, report, nowMicros + HOLD_MICROS));
+    Held h = new Held(request, worker, report, sync.place(), nowMicros + HOLD_MICROS);
+    if (pending(h)) {
+      // A start for this worker is being decided or committed: it goes with this answer, rather
+      // than with that to its next report.
+      held.add(h);
       return;
     }
     answer(request, worker, orders);
   }
 
+  /**
+   * Asks a machine for its state. An answer that is older than a report already taken can only come
+   * from a machine that has lost all it had since.
+   */
+  private void ask(Worker worker, String endpoint) {
+    Report last = worker.report();
+    outbox.call(
+        endpoint,
+        "GET",
+        "/status",
+        null,
+        ASK_MICROS,
+        reply -> {
+          if (reply.status() != 200 || worker.report() != last) {
+            return;
+          }
+          try {
+            Report now = Report.parse(reply.object());
+            if (now.host().equals(worker.host()) && last.after(now.tenure(), now.tick())) {
+              LOG.info("worker {} has begun anew", worker.host());
+              worker.restarted();
+              if (membership.actsFor(worker.shard())) {
+                sync.restarted(worker, now);
+              }
+            }
+          } catch (Report.Malformed e) {
+            LOG.info("status of {} not understood: {}", worker.host(), e.getMessage());
+          }
+        });
+  }
+
   /** A worker whose shard another controller owns. */
   private void elsewhere(long request, byte[] body, Report report, int shard) {
     String owner = membership.liveOwner(shard);
@@ -169,18 +211,22 @@
   }
 
   private void answer(long request, Worker worker, List<Map<String, Object>> orders) {
-    worker.answered(nowMicros);
     long term = membership.term(worker.shard());
+    worker.answered(nowMicros, term);
     outbox.answer(request, 200, Json.of("fence", term, "orders", orders));
   }
 
+  private boolean pending(Held h) {
+    return sync.placed() < h.round() || h.worker().startsPending();
+  }
+
   /** Answers what was held for a commit that has ended, or that takes too long. */
   public void release() {
     if (held.isEmpty()) {
       return;
     }
     for (Held h : List.copyOf(held)) {
-      if (h.worker().commitsPending() && nowMicros < h.untilMicros()) {
+      if (nowMicros < h.untilMicros() && pending(h)) {
         continue;
       }
       held.remove(h);
--- a/src/test/java/gladeknot/app/WorldTest.java
+++ b/src/test/java/gladeknot/app/WorldTest.java
@@ -139,6 +139,129 @@
                 w.run(5 * SECOND);
                 w.outage(false);
                 w.run(25 * SECOND);
+              }),
+          new Case(
+              "a machine's reports arrive, answers and commands don't reach it",
+              15,
+              w -> {
+                w.deafen(0, true);
+                w.deafen(3, true);
+                w.run(60 * SECOND);
+              }),
+          new Case(
+              "no machine hears anything any more: all are replaced",
+              23,
+              w -> {
+                // With one controller left each machine comes back to it before a lease is over.
+                w.kill(1);
+                w.kill(2);
+                w.run(20 * SECOND);
+                w.submit(0, World.job("req-late", "array", 8));
+                w.run(2 * SECOND);
+                w.deafenAll();
+                w.run(70 * SECOND);
+                w.poll(0, "req-late");
+                w.run(SECOND);
+                assertEquals("done", w.phase("req-late"));
+                w.start(1);
+                w.start(2);
+              }),
+          new Case(
+              "a machine hears nothing for a while, and its controller is restarted meanwhile",
+              16,
+              w -> {
+                w.deafen(1, true);
+                w.deafen(2, true);
+                w.run(3 * SECOND);
+                w.kill(0);
+                w.kill(1);
+                w.run(300_000);
+                w.start(0);
+                w.start(1);
+                w.run(30 * SECOND);
+                w.deafen(1, false);
+                w.deafen(2, false);
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "copies of reports come late, also of machines that were given back",
+              17,
+              w -> {
+                w.copies = true;
+                w.run(150 * SECOND);
+              }),
+          new Case(
+              "copies of reports come late, over changes of hands and ends of machines",
+              18,
+              w -> {
+                w.copies = true;
+                w.run(10 * SECOND);
+                w.kill(0);
+                w.killMachine(1);
+                w.run(12 * SECOND);
+                w.start(0);
+                w.run(4 * SECOND);
+                w.kill(2);
+                w.run(200_000);
+                w.start(2);
+                w.run(30 * SECOND);
+              }),
+          new Case(
+              "a controller loses the state service and the others, not the workers",
+              19,
+              w -> {
+                w.cutFromState(1, true);
+                w.cutFromPeers(1, true);
+                w.run(35 * SECOND);
+                w.cutFromState(1, false);
+                w.cutFromPeers(1, false);
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "machines are back at once, without what was on them",
+              20,
+              w -> {
+                for (int i = 0; i < w.machineCount(); i++) {
+                  w.reboot(i);
+                }
+                // Less than it takes to find machines silent and to replace them.
+                w.run(7 * SECOND);
+                assertEquals(4, w.zones("req-web").values().stream().mapToInt(n -> n).sum());
+              }),
+          new Case(
+              "a controller is back in the middle of its shard's takeover, again and again",
+              21,
+              w -> {
+                w.applyLate = 2 * SECOND;
+                for (int i = 0; i < 6; i++) {
+                  w.kill(1);
+                  w.run(i % 2 == 0 ? 9_400_000 : 150_000);
+                  w.start(1);
+                  w.loseAnswers = 1;
+                  w.run(700_000);
+                }
+                w.run(20 * SECOND);
+              }),
+          new Case(
+              "all this at once",
+              22,
+              w -> {
+                w.copies = true;
+                w.deafen(0, true);
+                w.cutFromState(0, true);
+                w.cutFromPeers(0, true);
+                w.run(6 * SECOND);
+                w.reboot(1);
+                w.kill(2);
+                w.run(200_000);
+                w.start(2);
+                w.loseAnswers = 2;
+                w.applyLate = 4 * SECOND;
+                w.run(25 * SECOND);
+                w.cutFromState(0, false);
+                w.cutFromPeers(0, false);
+                w.deafen(0, false);
+                w.run(20 * SECOND);
               }));
 
   @TestFactory
--- a/src/test/java/gladeknot/standin/World.java
+++ b/src/test/java/gladeknot/standin/World.java
@@ -29,6 +29,11 @@
   public static final long CANCEL = 25 * SECOND;
   public static final long TEAM_CPUS = 24_000;
 
+  /** How large a world is: its machines, the team's limit, what the state service takes. */
+  public record Scale(int machines, long teamCpus, double stateRps, double writeRps) {}
+
+  private static final Scale SMALL = new Scale(12, TEAM_CPUS, 300, 150);
+
   private record Event(long at, long order, Runnable run) {}
 
   private static final class Node {
@@ -37,6 +42,7 @@
     boolean paused;
     boolean cutFromState;
     boolean cutFromWorkers;
+    boolean cutFromPeers;
     long life;
     final Map<Long, java.util.function.Consumer<Outbox.Answer>> asked = new HashMap<>();
     long nextRequest = 1;
@@ -47,6 +53,7 @@
     int node;
     long nextReport;
     boolean dead;
+    boolean deaf;
     boolean waiting;
   }
 
@@ -60,7 +67,8 @@
   }
 
   public final StateStandIn state = new StateStandIn();
-  public final CloudStandIn cloud = new CloudStandIn(12, 3 * SECOND);
+  public final CloudStandIn cloud;
+  private final Scale scale;
   private final List<Node> nodes = new ArrayList<>();
   private final Map<String, Machine> machines = new TreeMap<>();
   private final Map<String, Known> known = new TreeMap<>();
@@ -72,6 +80,11 @@
   private long now = 100 * SECOND;
   private long order;
   private boolean outage;
+  private final Set<String> enteredBefore = new HashSet<>();
+  private final Set<String> givenBack = new HashSet<>();
+
+  /** Whether copies of reports come late, to any controller. */
+  public boolean copies;
 
   /** Commits whose answer is to be lost, and how much later they are to be applied. */
   public int loseAnswers;
@@ -79,14 +92,20 @@
   public long applyLate;
 
   public World(int count, long seed) {
+    this(count, seed, SMALL);
+  }
+
+  public World(int count, long seed, Scale scale) {
     random = new SplittableRandom(seed);
+    this.scale = scale;
+    cloud = new CloudStandIn(scale.machines(), 3 * SECOND);
     for (int i = 0; i < count; i++) {
       nodes.add(new Node());
       start(i);
     }
   }
 
-  private static Settings settings(int node, int count) {
+  private Settings settings(int node, int count) {
     List<Settings.Member> members = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       if (i != node) {
@@ -103,10 +122,10 @@
         "state:1",
         List.of("a", "b"),
         0,
-        Map.of("dev", new Settings.Team("dev", 8_000, TEAM_CPUS, 0, 0)),
+        Map.of("dev", new Settings.Team("dev", scale.teamCpus() / 3, scale.teamCpus(), 0, 0)),
         List.of(new Settings.Objective("deadline", "batch", 0, 0.9, 1)),
         new Settings.Workers(REPORT, LEASE, 30 * SECOND, 5 * SECOND, CANCEL),
-        new Settings.StateLimits(300, 150, 8192, 16),
+        new Settings.StateLimits(scale.stateRps(), scale.writeRps(), 8192, 16),
         new Settings.CloudLimits(20, 3 * SECOND),
         500);
   }
@@ -152,6 +171,39 @@
     }
   }
 
+  /** A machine's reports get through, but no answer and no command does. */
+  public void deafen(int nth, boolean deaf) {
+    List<Machine> all = List.copyOf(machines.values());
+    if (nth < all.size()) {
+      all.get(nth).deaf = deaf;
+    }
+  }
+
+  /** The same for all the machines there are; those still to come hear. */
+  public void deafenAll() {
+    machines.values().forEach(m -> m.deaf = true);
+  }
+
+  /** A machine loses all that is on it and is back at once, counting from the start again. */
+  public void reboot(int nth) {
+    Machine m = machines.values().stream().filter(x -> !x.dead).skip(nth).findFirst().orElseThrow();
+    CloudStandIn.Machine of =
+        cloud.machines().stream()
+            .filter(c -> c.id.equals(m.worker.host()))
+            .findFirst()
+            .orElseThrow();
+    m.worker = new WorkerStandIn(of, of.id + ":9", LEASE, World::runMicros, now);
+  }
+
+  public int machineCount() {
+    return (int) machines.values().stream().filter(m -> !m.dead).count();
+  }
+
+  /** Cuts a controller from all others. */
+  public void cutFromPeers(int i, boolean cut) {
+    nodes.get(i).cutFromPeers = cut;
+  }
+
   public long now() {
     return now;
   }
@@ -184,6 +236,9 @@
       }
       machines();
       check();
+      if (now % (SECOND / 2) == 0) {
+        checkMachines();
+      }
     }
   }
 
@@ -194,7 +249,7 @@
     }
     for (Hint hint : n.core.outbox().takeHints()) {
       for (Node other : nodes) {
-        if (other != n) {
+        if (other != n && !n.cutFromPeers && !other.cutFromPeers) {
           later(
               2_000,
               () -> {
@@ -265,7 +320,12 @@
         return cloud.serve(call.method(), call.path(), call.body());
       }
       Machine m = machines.get(call.address().split(":")[0]);
-      return m == null || m.dead ? null : m.worker.orders(Json.object(call.body()));
+      if (m == null || m.dead || m.deaf) {
+        return null;
+      }
+      return call.path().equals("/status")
+          ? new StateStandIn.Answer(200, m.worker.report())
+          : m.worker.orders(Json.object(call.body()));
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
@@ -336,6 +396,7 @@
   private void report(Machine m) {
     long sent = now;
     long tenure = m.worker.tenure();
+    WorkerStandIn life = m.worker;
     Map<String, Object> report = m.worker.report();
     Node n = nodes.get(m.node);
     m.waiting = true;
@@ -349,6 +410,12 @@
             next(m);
           }
         });
+    if (copies && random.nextInt(4) == 0) {
+      int to = random.nextInt(nodes.size());
+      later(
+          SECOND + random.nextLong(3 * LEASE),
+          () -> ask(to, "POST", "/hello", report, answer -> {}));
+    }
     if (!n.up || n.cutFromWorkers) {
       if (!n.up) {
         over[0] = true;
@@ -366,7 +433,7 @@
                 "/hello",
                 report,
                 answer -> {
-                  if (!over[0]) {
+                  if (!over[0] && !m.deaf && m.worker == life) {
                     over[0] = true;
                     m.waiting = false;
                     answered(m, answer, sent, tenure);
@@ -493,6 +560,33 @@
     return known.get(id).last;
   }
 
+  /** A machine that was given back is entered once more: somebody believed a late copy. */
+  private void checkMachines() {
+    Set<String> entered = new HashSet<>();
+    for (String key : state.keys("g/w/")) {
+      state
+          .get(key)
+          .forEach(
+              (field, record) -> {
+                if (!record.equals("-")) {
+                  entered.add(key.substring("g/w/".length(), key.length() - 1) + field);
+                }
+              });
+    }
+    for (String host : entered) {
+      if (givenBack.contains(host)) {
+        broken.add("taken in again: " + host);
+      }
+    }
+    for (String host : enteredBefore) {
+      if (!entered.contains(host)) {
+        givenBack.add(host);
+      }
+    }
+    enteredBefore.clear();
+    enteredBefore.addAll(entered);
+  }
+
   /** Where a job's tasks are now, by zone. */
   public Map<String, Integer> zones(String job) {
     Map<String, Integer> zones = new TreeMap<>();
@@ -526,7 +620,7 @@
         }
       }
     }
-    if (count * 1000L > TEAM_CPUS) {
+    if (count * 1000L > scale.teamCpus()) {
       broken.add("quota: " + count + " CPUs");
     }
   }
