--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -534,9 +534,11 @@
       long otherwise) {
     Offer best = null;
     double bestScore = 0;
+    double dear = dear(spec);
     for (MachineType type : types.values()) {
       int fits = type.fits(spec);
-      if (fits == 0 || (spec.gpus() == 0 && type.gpus() > 0 && !onGpusAlone(spec))) {
+      boolean wasteful = spec.gpus() == 0 && type.gpus() > 0;
+      if (fits == 0 || (wasteful && spec.shape() == JobSpec.Shape.SERVICE)) {
         continue;
       }
       long up = nowMicros + type.readyMicros() + (long) (spec.imageGb() / type.fetchGbPerS() * 1e6);
@@ -550,7 +552,8 @@
           if (!spec.allows(type.name(), zone, spot)
               || !spec.zoneOpen(zone, inZone)
               || (off != null && nowMicros < off.untilMicros)
-              || wanted.getOrDefault(offer, 0) >= MOST_AT_ONCE) {
+              || wanted.getOrDefault(offer, 0) >= MOST_AT_ONCE
+              || (wasteful && type.price(spot) / fits > dear)) {
             continue;
           }
           double score = type.price(spot) / Math.min(fits, count);
@@ -572,15 +575,19 @@
     return best;
   }
 
-  /** Whether a job that uses no GPU fits only machines that have some. */
-  private boolean onGpusAlone(JobSpec spec) {
+  /**
+   * What a task may cost an hour on a machine with GPUs that it doesn't use: a few times what it
+   * costs on others. They are for when those are all taken.
+   */
+  private double dear(JobSpec spec) {
+    double cheapest = Double.MAX_VALUE;
     for (MachineType type : types.values()) {
       boolean allowed = spec.types() == null || spec.types().contains(type.name());
       if (allowed && type.gpus() == 0 && type.fits(spec) > 0) {
-        return false;
+        cheapest = Math.min(cheapest, type.price(false) / type.fits(spec));
       }
     }
-    return true;
+    return cheapest == Double.MAX_VALUE ? cheapest : cheapest * policy.number(Policy.Name.DEAR);
   }
 
   private void countZones() {
--- a/src/main/java/gladeknot/ledger/Ledger.java
+++ b/src/main/java/gladeknot/ledger/Ledger.java
@@ -27,7 +27,8 @@
   private static final String BARRIER_KEY = "/kv/" + ROOT + "-";
   private static final long CALL_MICROS = 2_500_000;
   private static final int FOLLOW_MS = 8_000;
-  private static final long BARRIER_GAP_MICROS = 80_000;
+  private static final long FOLLOW_GAP_MICROS = 90_000;
+  private static final long BARRIER_GAP_MICROS = 150_000;
   private static final long BARRIER_WAIT_MICROS = 1_500_000;
   private static final int PAGE = 400;
   private static final double WRITE_SHARE = 1.5;
@@ -93,6 +94,7 @@
   private boolean loading;
   private boolean following;
   private long retryMicros;
+  private long nextFollowMicros;
   private TreeMap<String, Entry> page;
   private long pageEpoch;
   private final List<Barrier> asked = new ArrayList<>();
@@ -163,7 +165,7 @@
       pageEpoch = -1;
       load("");
     }
-    if (loaded && !following && now >= retryMicros) {
+    if (loaded && !following && now >= Math.max(retryMicros, nextFollowMicros)) {
       follow();
     }
     if (!asked.isEmpty()
@@ -292,7 +294,9 @@
           }
           epoch = Math.max(epoch, Json.num(body, "epoch", epoch));
           deletedAt.values().removeIf(at -> at <= epoch);
-          follow();
+          // Every change of every controller ends a watch: asked again at once, watches alone would
+          // use up the calls that commits need.
+          nextFollowMicros = nowMicros + FOLLOW_GAP_MICROS;
           reachedEpoch();
         });
   }
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -299,8 +299,12 @@
   }
 
   private Waiting waiting(Slice s, Job job, boolean foreign) {
-    // Work that newer work keeps going before would never begin under a steady load.
-    boolean starved = wallMicros - job.submittedMicros() > policy.micros(Policy.Name.STARVE_AFTER);
+    // Work that newer work keeps going before would never begin under a steady load. Of an array
+    // one
+    // task is enough for that: all of it would make the rest late as well.
+    boolean starved =
+        wallMicros - job.submittedMicros() > policy.micros(Policy.Name.STARVE_AFTER)
+            && (job.spec().whole() || !begun(job));
     // A guarantee is for work that has just come: what has waited for longer than that is meant to
     // has missed it, and would now only keep others from their deadlines.
     boolean guaranteed =
@@ -309,6 +313,15 @@
     return new Waiting(s, job, foreign, starved, guaranteed, urgency.key(job));
   }
 
+  private boolean begun(Job job) {
+    for (Slice s : slices.of(job.id())) {
+      if (s.live() > 0 || !s.done.isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** The slices of one shard that wait; those of others only once they have waited a while. */
   private void waiting(int from, int shard, List<Waiting> into) {
     boolean foreign = from != shard;
@@ -386,6 +399,9 @@
       lacks(spec, todo, allowed, rooms, shard);
     }
     int count = Math.min(todo, Math.min(allowed, recordRoom(s)));
+    if (w.starved() && !spec.whole()) {
+      count = Math.min(count, 1);
+    }
     int placed = 0;
     int next = s.nextTodo(0);
     while (placed < count && next >= 0) {
@@ -532,6 +548,9 @@
     }
     int allowed = allowedByBudget(spec, shard);
     int count = Math.min(todo, Math.min(allowed, recordRoom(own)));
+    if (w.starved() && !spec.whole()) {
+      count = Math.min(count, 1);
+    }
     if (allowed < todo) {
       lacks(spec, todo, allowed, rooms, shard);
     }
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -318,6 +318,7 @@
   private void close(Attempt a) {
     a.closed = true;
     Slice s = a.slice();
+    s.outChanged();
     Job job = jobs.active(s.job());
     if (job != null && job.spec().shape() == Shape.GANG && !a.finished) {
       for (Attempt other : s.out.values()) {
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -55,6 +55,8 @@
   /** Grows with each change, so that a commit knows whether it caught the last one. */
   long version;
 
+  private int live = -1;
+
   /** Since when it has something to write; 0 if it hasn't. */
   long dirtySinceMicros;
 
@@ -266,13 +268,19 @@
 
   /** Tasks that may be on a machine. */
   public int live() {
-    int count = 0;
-    for (Attempt a : out.values()) {
-      if (!a.closed) {
-        count++;
+    // Asked for at every look at what teams use, and changed seldom.
+    if (live < 0) {
+      live = 0;
+      for (Attempt a : out.values()) {
+        live += a.closed ? 0 : 1;
       }
     }
-    return count;
+    return live;
+  }
+
+  /** An attempt has come, gone or ended. */
+  void outChanged() {
+    live = -1;
   }
 
   boolean complete() {
--- a/src/main/java/gladeknot/placement/SliceBook.java
+++ b/src/main/java/gladeknot/placement/SliceBook.java
@@ -179,6 +179,7 @@
     Map<Integer, Attempt> before = new HashMap<>(s.out);
     s.out.values().forEach(workers::remove);
     s.out.clear();
+    s.outChanged();
     s.claims.clear();
     s.version++;
     s.dirtySinceMicros = 0;
@@ -217,11 +218,13 @@
   }
 
   void put(Attempt a) {
+    a.slice().outChanged();
     a.slice().out.put(a.task(), a);
     workers.put(a);
   }
 
   void remove(Attempt a) {
+    a.slice().outChanged();
     a.slice().out.remove(a.task(), a);
     workers.remove(a);
   }
@@ -229,6 +232,7 @@
   private void drop(Slice s) {
     s.out.values().forEach(workers::remove);
     s.out.clear();
+    s.outChanged();
     s.version++;
     byShard.get(s.shard()).remove(s.job());
   }
--- a/src/test/java/gladeknot/standin/World.java
+++ b/src/test/java/gladeknot/standin/World.java
@@ -69,6 +69,7 @@
   public final StateStandIn state = new StateStandIn();
   public final CloudStandIn cloud;
   private final Scale scale;
+  private final int count;
   private final List<Node> nodes = new ArrayList<>();
   private final Map<String, Machine> machines = new TreeMap<>();
   private final Map<String, Known> known = new TreeMap<>();
@@ -98,6 +99,7 @@
   public World(int count, long seed, Scale scale) {
     random = new SplittableRandom(seed);
     this.scale = scale;
+    this.count = count;
     cloud = new CloudStandIn(scale.machines(), 3 * SECOND);
     for (int i = 0; i < count; i++) {
       nodes.add(new Node());
@@ -132,7 +134,7 @@
 
   public void start(int i) {
     Node n = nodes.get(i);
-    n.core = new Core(settings(i, Math.max(3, nodes.size())), Policy.of(""), random.split());
+    n.core = new Core(settings(i, count), Policy.of(""), random.split());
     n.up = true;
     n.paused = false;
     n.life++;
