Machines spread over shards; starved gangs hold budget; machines that don't hear

In the world test a gang never began beside a stream of small work: no budget, no machine, no held room. One controller with all shards could not use a machine of a lower shard for a higher one's task.

Changed: rented machines are entered for the shard with the fewest CPUs; work late for all deadlines comes after what can be in time elsewhere; shards give budget one after the other; a starved gang holds budget and room in turns and has machines rented; claims go both ways between one's own shards. A machine whose answers don't arrive is told from slow answers by whether its session outlasts a lease. Ruled out: record parts (nearly no conflicts on them).

--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -43,7 +43,6 @@
   private static final int MOST_RELEASED = 100;
   private static final int MOST_FORECAST = 3000;
   private static final int MOST_ERRORS = 4;
-  private static final int MOST_DEAF = 2;
   private static final long SILENT_MICROS = 8_000_000;
 
   /** Tasks are often longer than they are thought to be. */
@@ -452,7 +451,7 @@
       long age = wallMicros - w.rentedWallMicros();
       long from = nowMicros;
       if (ours && w.report() != null) {
-        if (w.errors >= MOST_ERRORS || nowMicros - w.reportMicros() > SILENT_MICROS) {
+        if (w.errors >= MOST_ERRORS || w.deaf() || nowMicros - w.reportMicros() > SILENT_MICROS) {
           continue;
         }
       } else if (w.attempts().isEmpty()) {
@@ -657,18 +656,48 @@
     } else {
       backoffs.remove(r.offer.name());
     }
+    long[] cpus = shardCpus();
     for (String host : hosts) {
-      enter(host, r.shard, r.offer.type.name(), r.offer.zone, r.offer.spot);
+      int shard = r.offer.type.gpus() > 0 ? r.shard : least(cpus);
+      cpus[shard] += r.offer.type.cpus();
+      enter(host, r.shard, shard, r.offer.type.name(), r.offer.zone, r.offer.spot);
     }
   }
 
-  private void enter(String host, int shard, String type, String zone, boolean spot) {
+  /** The CPUs of each shard's machines, there or coming. */
+  private long[] shardCpus() {
+    long[] cpus = new long[membership.shards()];
+    for (Worker w : workers.all()) {
+      MachineType type = types.get(w.type());
+      if (w.entered() && !w.leaving() && type != null && type.gpus() == 0) {
+        cpus[w.shard()] += type.cpus();
+      }
+    }
+    return cpus;
+  }
+
+  /**
+   * The shard with the fewest, of those with a live owner: tasks are split evenly over shards, so
+   * machines are too, whoever rented them. What is uneven has to be claimed, task by task.
+   */
+  private int least(long[] cpus) {
+    int least = membership.home();
+    for (int shard = 0; shard < cpus.length; shard++) {
+      if (membership.liveOwner(shard) != null && cpus[shard] < cpus[least]) {
+        least = shard;
+      }
+    }
+    return least;
+  }
+
+  /** Enters a machine for a shard; written by the owner of another, perhaps. */
+  private void enter(String host, int by, int shard, String type, String zone, boolean spot) {
     if (!adopting.add(host)) {
       return;
     }
     edit(
         host,
-        shard,
+        by,
         null,
         Worker.record(shard, type, zone, spot, wallMicros, false),
         done -> {
@@ -686,7 +715,7 @@
     int shard = membership.home();
     if (membership.commitsFor(shard) && !workers.released(report.host())) {
       LOG.info("adopt {} for shard {}", report.host(), shard);
-      enter(report.host(), shard, report.type(), report.zone(), report.spot());
+      enter(report.host(), shard, shard, report.type(), report.zone(), report.spot());
     }
   }
 
@@ -714,7 +743,7 @@
         why = "silent";
       } else if (w.errors >= 4 && !busy) {
         why = "fails tasks";
-      } else if (w.deafTimes() >= MOST_DEAF && !busy) {
+      } else if (w.surelyDeaf() && !busy) {
         why = "does not hear";
       } else if (!busy && w.report().tasks().isEmpty()) {
         if (w.idleSinceMicros == 0) {
@@ -863,7 +892,13 @@
         && Math.floorMod(host.hashCode(), membership.shards()) == shard
         && membership.commitsFor(shard)) {
       LOG.info("adopt {} for shard {}: listed, and nobody has entered it", host, shard);
-      enter(host, shard, Json.text(m, "hosttype"), Json.text(m, "glade"), Json.flag(m, "loaners"));
+      enter(
+          host,
+          shard,
+          shard,
+          Json.text(m, "hosttype"),
+          Json.text(m, "glade"),
+          Json.flag(m, "loaners"));
     }
   }
 }
--- a/src/main/java/gladeknot/ledger/Ledger.java
+++ b/src/main/java/gladeknot/ledger/Ledger.java
@@ -27,8 +27,8 @@
   private static final String BARRIER_KEY = "/kv/" + ROOT + "-";
   private static final long CALL_MICROS = 2_500_000;
   private static final int FOLLOW_MS = 8_000;
-  private static final long FOLLOW_GAP_MICROS = 90_000;
-  private static final long BARRIER_GAP_MICROS = 150_000;
+  private static final long FOLLOW_GAP_MICROS = 65_000;
+  private static final long BARRIER_GAP_MICROS = 200_000;
   private static final long BARRIER_WAIT_MICROS = 1_500_000;
   private static final int PAGE = 400;
   private static final double WRITE_SHARE = 1.5;
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -37,6 +37,9 @@
 
   private static final long GUARANTEE_MARGIN_MICROS = 1_000_000;
 
+  /** How long one shard after the other holds on to a budget that is too small for its gang. */
+  private static final long TURN_MICROS = 10_000_000;
+
   /** Room kept in a record for what else it holds. */
   private static final int RECORD_OVERHEAD = 1000;
 
@@ -140,6 +143,10 @@
       if (spec.gpus() > 0) {
         n = Math.min(n, a.gpus() / spec.gpus());
       }
+      if (w.starved() && spec.whole()) {
+        // Budget will be held for it: it must not lack a machine then.
+        n = count;
+      }
       if (spec.shape() == JobSpec.Shape.SERVICE && spec.scatter()) {
         n = Math.min(n, zonesLeft(w.slice(), spec));
       }
@@ -241,6 +248,7 @@
         && w.recallAtMicros() == 0
         && nowMicros >= w.restUntilMicros
         && w.errors < 4
+        && !w.deaf()
         && nowMicros - w.reportMicros() < 2 * settings.workers().reportMicros() + 500_000
         && types.get(w.type()) != null;
   }
@@ -271,13 +279,15 @@
   }
 
   /**
-   * Priority first, then guarantees, then the own shard's, then what is due first, then what came
-   * first.
+   * Priority first, then guarantees, then the deadline that can still be met, then the own shard's,
+   * then what is due first, then what came first. The own shard's work that is late already must
+   * not go before what can be in time elsewhere.
    */
   private static final Comparator<Waiting> ORDER =
       Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
           .thenComparing(w -> !w.starved())
           .thenComparing(w -> !w.guaranteed())
+          .thenComparingInt(w -> Urgency.tier(w.key()))
           .thenComparing(Waiting::foreign)
           .thenComparingLong(Waiting::key)
           .thenComparingLong(w -> w.job().submittedMicros())
@@ -325,12 +335,6 @@
   /** The slices of one shard that wait; those of others only once they have waited a while. */
   private void waiting(int from, int shard, List<Waiting> into) {
     boolean foreign = from != shard;
-    if (foreign && membership.commitsFor(from) && from < shard) {
-      // Both are ours: claims go one way, to the higher number, so that none go in circles.
-      foreign = true;
-    } else if (foreign && membership.commitsFor(from)) {
-      return;
-    }
     for (Slice s : slices.of(from)) {
       Job job = jobs.active(s.job());
       if (job == null || s.todoCount() == 0) {
@@ -391,6 +395,7 @@
       }
       if (allowed < todo) {
         lacks(spec, todo, allowed, rooms, shard);
+        holdBudget(w, todo, allowed, rooms, shard);
         return 0;
       }
       return placeGang(s, spec, rooms, todo, shard) ? 0 : todo;
@@ -417,6 +422,27 @@
     return count - placed;
   }
 
+  /**
+   * A gang for which a shard's budget is too small: what comes after it must not take the little
+   * there is, or it never comes to all it needs. Others that could claim it do the same once it has
+   * starved, in turns: two that held on to a part each would wait for ever.
+   */
+  private void holdBudget(Waiting w, int todo, int allowed, List<Room> rooms, int shard) {
+    JobSpec spec = w.job().spec();
+    boolean turn = wallMicros / TURN_MICROS % membership.shards() == shard;
+    if (!turn && (w.foreign() || w.starved())) {
+      return;
+    }
+    charge(spec, allowed, shard);
+    if (turn) {
+      budgets.reserve(
+          spec.team(), shard, new Budgets.Amount(spec.cpus() * allowed, spec.gpus() * allowed));
+    }
+    if (w.starved()) {
+      hold(spec, todo, rooms, slices.zoneCounts(spec.id()));
+    }
+  }
+
   /** Asks for budget as far as there is, or may be made, room for the tasks that lack it. */
   private void lacks(JobSpec spec, int todo, int allowed, List<Room> rooms, int shard) {
     long able = 0;
@@ -554,6 +580,9 @@
     if (allowed < todo) {
       lacks(spec, todo, allowed, rooms, shard);
     }
+    if (gang && allowed < todo && w.starved()) {
+      holdBudget(w, todo, allowed, rooms, shard);
+    }
     if (!own.claims.isEmpty()
         || own.todoCount() > 0
         || nowMicros < own.restUntilMicros
@@ -670,10 +699,32 @@
       }
     }
     if (gang && rest > 0) {
-      // A gang that nothing may be stopped for gets what falls free, on the machines that it
-      // could use: the room that it lacks is taken in thought, so that nobody else gets it.
-      for (Room room : rooms) {
-        if (rest > 0 && suits(spec, room, null, perZone) && room.type.fits(spec) > 0) {
+      hold(spec, rest, rooms, perZone);
+    }
+  }
+
+  /**
+   * A gang that nothing may be stopped for gets what falls free, on the machines that it could use:
+   * the room that it lacks is taken in thought, so that nobody else gets it. One that stays
+   * together gets it in the zone where most of it could be.
+   */
+  private void hold(JobSpec spec, int count, List<Room> rooms, Map<String, Integer> perZone) {
+    Map<String, Integer> able = new HashMap<>();
+    for (Room room : rooms) {
+      if (suits(spec, room, null, perZone)) {
+        able.merge(room.worker.zone(), room.type.fits(spec), Integer::sum);
+      }
+    }
+    String zone = null;
+    for (Map.Entry<String, Integer> e : able.entrySet()) {
+      if (spec.together() && (zone == null || e.getValue() > able.get(zone))) {
+        zone = e.getKey();
+      }
+    }
+    int rest = count;
+    for (Room room : rooms) {
+      if (rest > 0 && suits(spec, room, zone, perZone)) {
+        for (int n = Math.min(rest, room.type.fits(spec)); n > 0; n--) {
           room.take(spec);
           rest--;
         }
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -180,6 +180,7 @@
     // A report from before our term may be an old one that was held up on its way. What it lists
     // as ended has ended; what it leaves out may have been started since.
     boolean fresh = report.token() >= membership.term(shard);
+    worker.judgeHearing(nowMicros, settings.workers().leaseMicros() + ORDERS_MICROS);
     List<Map<String, Object>> reaps = new ArrayList<>();
     List<Map<String, Object>> kills = new ArrayList<>();
     List<Map<String, Object>> runs = new ArrayList<>();
@@ -227,7 +228,7 @@
         }
       } else if (a.missed >= MOST_MISSED && fresh) {
         // Its reports come, and our answers don't get there: it must not wait here for ever.
-        worker.deaf(nowMicros, nowMicros + settings.workers().leaseMicros());
+        worker.doesNotHear(nowMicros);
         gone(a, "never taken up");
       } else {
         a.sent = true;
--- a/src/main/java/gladeknot/placement/Urgency.java
+++ b/src/main/java/gladeknot/placement/Urgency.java
@@ -24,6 +24,8 @@
   /** Keys of work that is late for all its deadlines begin here. */
   static final long LATE_KEY = Long.MAX_VALUE / 4;
 
+  private static final long TIER = LATE_KEY / 8;
+
   private static final long AGAIN_MICROS = 300_000;
 
   /** From the end of a task to the answer that tells of it. */
@@ -66,6 +68,11 @@
     return key == null ? job.submittedMicros() + job.spec().dueMicros() : key;
   }
 
+  /** Which of its deadlines a job with such a key can be in time for. */
+  static int tier(long key) {
+    return (int) Math.min(key / TIER, 8);
+  }
+
   /** Works the order out anew, now and then. */
   void refresh(long nowMicros, long wallMicros) {
     if (nowMicros < nextMicros && seenChanges == jobs.changes()) {
@@ -130,7 +137,7 @@
     }
     for (Entry e : taken) {
       // Tiers lie far apart: what can be in time for an earlier one goes first.
-      keys.put(e.job().id(), e.dueMicros() + tier * (LATE_KEY / 8));
+      keys.put(e.job().id(), e.dueMicros() + tier * TIER);
     }
     return work;
   }
--- a/src/main/java/gladeknot/teams/Budgets.java
+++ b/src/main/java/gladeknot/teams/Budgets.java
@@ -33,6 +33,7 @@
   /** Between two changes of one team's budgets: what came of the first must be seen before. */
   private static final long REST_MICROS = 700_000;
 
+  private static final long GIVE_STEP_MICROS = 250_000;
   private static final long TELL_MICROS = 1_000_000;
   private static final long HINT_MICROS = 3_000_000;
 
@@ -74,6 +75,7 @@
   private final Map<String, Amount> reserved = new HashMap<>();
   private final Map<Integer, Long> hintedMicros = new HashMap<>();
   private final Map<String, Long> restUntilMicros = new HashMap<>();
+  private final Map<String, Long> lackSince = new HashMap<>();
   private long tellAgainMicros;
   private long nextMicros;
   private long nowMicros;
@@ -238,10 +240,8 @@
       return;
     }
     String name = team.name();
-    Amount spare =
-        available(name, shard)
-            .minus(reserved.getOrDefault(name + "/" + shard, NONE))
-            .minus(lacking.getOrDefault(shard, Map.of()).getOrDefault(name, NONE));
+    Amount free = available(name, shard).minus(reserved.getOrDefault(name + "/" + shard, NONE));
+    Amount spare = free.minus(lacking.getOrDefault(shard, Map.of()).getOrDefault(name, NONE));
     Amount rest = spare.atLeastZero();
     for (int other = 0; other < membership.shards(); other++) {
       boolean ours = membership.owned().contains(other);
@@ -250,9 +250,19 @@
         continue;
       }
       Amount lacks = lacking.getOrDefault(other, Map.of()).getOrDefault(name, NONE);
+      if (!lacks.positive()) {
+        lackSince.remove(name + "/" + other);
+        continue;
+      }
+      // One after the other: all that give at once would conflict over the one key.
+      long since = lackSince.computeIfAbsent(name + "/" + other, k -> nowMicros);
+      int place = Math.floorMod(shard - other - 1, membership.shards());
+      if (nowMicros - since < place * GIVE_STEP_MICROS) {
+        continue;
+      }
       // A rest too small for any of one's own tasks goes to lower numbers, never in circles.
       boolean stuck = lacking.getOrDefault(shard, Map.of()).containsKey(name) && other < shard;
-      Amount given = (stuck ? available(name, shard).atLeastZero() : rest).min(lacks);
+      Amount given = (stuck ? free.atLeastZero() : rest).min(lacks);
       if (!given.positive()) {
         continue;
       }
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -44,7 +44,10 @@
 
   public String lastErrorJob = "";
 
-  private int deafTimes;
+  private boolean deaf;
+  private boolean surelyDeaf;
+  private long deafSinceMicros;
+  private long deafTenure;
   private long askedMicros = NEVER;
 
   /** Nothing new before this. */
@@ -140,19 +143,43 @@
     answeredMicros = nowMicros;
   }
 
-  /** Notes that our answers don't reach it: nothing new goes there for a while. */
-  public void deaf(long nowMicros, long untilMicros) {
-    deafTimes++;
-    restUntilMicros = Math.max(restUntilMicros, untilMicros);
+  /** Notes that our answers don't reach it: nothing new goes there until one does. */
+  public void doesNotHear(long nowMicros) {
+    if (!deaf) {
+      deaf = true;
+      deafSinceMicros = nowMicros;
+      deafTenure = report.tenure();
+    }
+  }
+
+  /**
+   * Looks at what its newest report says of that: a session that outlasts a lease has been
+   * answered, so that an answer or two were only late; one that has ended meanwhile has not.
+   */
+  public void judgeHearing(long nowMicros, long leaseMicros) {
+    if (!deaf) {
+      return;
+    }
+    if (report.tenure() > deafTenure) {
+      surelyDeaf = true;
+    } else if (nowMicros - deafSinceMicros > leaseMicros) {
+      hears();
+    }
+  }
+
+  /** Whether a session has ended for want of the answers that were given in it. */
+  public boolean surelyDeaf() {
+    return surelyDeaf;
   }
 
   /** Notes that a command of ours was carried out. */
   public void hears() {
-    deafTimes = 0;
+    deaf = false;
+    surelyDeaf = false;
   }
 
-  public int deafTimes() {
-    return deafTimes;
+  public boolean deaf() {
+    return deaf;
   }
 
   /** Whether its state is worth asking for: what it sends is older than what it has sent. */
--- /dev/null
+++ b/src/test/java/gladeknot/app/LoadTest.java
@@ -0,0 +1,66 @@
+package gladeknot.app;
+
+import static gladeknot.standin.World.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.standin.World;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What load does: nobody starves, and a larger fleet costs no more a task. */
+class LoadTest {
+  @Test
+  void theLargestBeginHoweverMuchSmallWorkComes() {
+    World w = new World(3, 31);
+    w.run(3 * SECOND);
+    int n = 0;
+    // More than the team's limit lets run: 24 tasks at once of 6 s, and 6 tasks come each second.
+    for (int s = 0; s < 15; s++) {
+      w.submit(n % 3, World.job("req-small-" + n++, "array", 6));
+      w.run(SECOND);
+    }
+    w.submit(0, World.job("req-large", "array", 60));
+    w.submit(1, World.job("req-gang", "ensemble", 3));
+    for (int s = 0; s < 235; s++) {
+      w.submit(n % 3, World.job("req-small-" + n++, "array", 6));
+      w.run(SECOND);
+    }
+    assertTrue(w.doneTasks("req-large") > 0);
+    assertEquals(3, w.doneTasks("req-gang"));
+    assertEquals(List.of(), w.broken());
+  }
+
+  @Test
+  void writesForEachTaskDoNotGrowWithTheFleet() {
+    double small = writesForEachTask(12);
+    double large = writesForEachTask(120);
+    assertTrue(large <= small, small + " then " + large);
+    // Far from a write for each start and each end.
+    assertTrue(large < 0.7, large + " writes for each task");
+  }
+
+  private static double writesForEachTask(int machines) {
+    World w = new World(3, 32, new World.Scale(machines, machines * 4000L, 300, 60));
+    w.run(3 * SECOND);
+    List<String> jobs = new ArrayList<>();
+    int tasks = machines * 4;
+    for (int i = 0; i < 5; i++) {
+      String id = "req-batch-" + i;
+      jobs.add(id);
+      w.submit(i % 3, World.job(id, "array", tasks));
+    }
+    long before = w.state.writes();
+    w.run(90 * SECOND);
+    for (String id : jobs) {
+      w.poll(0, id);
+    }
+    w.run(SECOND);
+    for (String id : jobs) {
+      assertEquals("done", w.phase(id));
+    }
+    assertEquals(List.of(), w.broken());
+    return (w.state.writes() - before) / (double) (5 * tasks);
+  }
+}
--- a/src/test/java/gladeknot/standin/StateStandIn.java
+++ b/src/test/java/gladeknot/standin/StateStandIn.java
@@ -20,6 +20,7 @@
   private final Map<Long, long[]> grants = new HashMap<>();
   private final List<Change> changes = new ArrayList<>();
   private long epoch;
+  private long writes;
   private long nextGrant = 1;
   private long nowMicros;
 
@@ -53,7 +54,13 @@
     }
   }
 
+  /** Puts and deletes so far. */
+  public long writes() {
+    return writes;
+  }
+
   private void change(String key, Map<String, Object> data, long grant) {
+    writes++;
     if (data == null) {
       keys.remove(key);
     } else {
