--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -34,7 +34,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
   private static final long CALL_MICROS = 8_000_000;
   private static final long TYPES_MICROS = 60_000_000;
-  private static final long STEP_MICROS = 500_000;
+  private static final long STEP_MICROS = 800_000;
   private static final long LIST_MICROS = 20_000_000;
 
   /** The most that the protocol lets one request rent, and one release name. */
@@ -50,7 +50,7 @@
 
   private static final int ZONE_PATIENCE = 4;
   private static final long LEAST_CHARGED_MICROS = 55_000_000;
-  private static final long PLAN_MICROS = 1_500_000;
+  private static final long PLAN_MICROS = 2_000_000;
   private static final long TURN_MICROS = 4_000_000;
 
   /** How long after a task's end a job is seen to be done. */
@@ -102,7 +102,6 @@
   private final Set<String> adopting = new HashSet<>();
   private final Map<String, Long> strangers = new HashMap<>();
   private final Demand demand = new Demand();
-  private final Set<String> unneeded = new HashSet<>();
 
   /** Machines marked for release that wait for a call to the cloud. */
   private final Map<String, Integer> toRelease = new LinkedHashMap<>();
@@ -184,8 +183,9 @@
       }
     }
     sendReleases();
-    rent();
-    lend();
+    Placer.Queue queue = placer.queue();
+    rent(queue);
+    lend(queue);
     if (now >= nextPlanMicros) {
       nextPlanMicros = now + PLAN_MICROS;
       plan();
@@ -228,8 +228,7 @@
   }
 
   /** Rents for our tasks that would start too late on the machines that are there or coming. */
-  private void rent() {
-    Placer.Queue queue = placer.queue();
+  private void rent(Placer.Queue queue) {
     policy.load(workers.all().size(), queue.waiting().stream().mapToInt(Placer.Need::count).sum());
     if (queue.waiting().isEmpty()) {
       return;
@@ -346,10 +345,10 @@
         i += in - 1;
       }
     }
-    unneeded.clear();
     for (Capacity.Box box : capacity.boxes()) {
-      if (!box.used()) {
-        unneeded.add(box.host);
+      Worker w = workers.get(box.host);
+      if (w != null) {
+        w.unneeded = !box.used();
       }
     }
     // One shard's owner rents ahead at a time, in turns by the time of day.
@@ -404,8 +403,8 @@
    * Gives an empty worker to a shard whose gang waits for it. The worker has seen our term; its new
    * owner raises its own above it before it answers.
    */
-  private void lend() {
-    for (Placer.Need need : placer.queue().waiting()) {
+  private void lend(Placer.Queue queue) {
+    for (Placer.Need need : queue.waiting()) {
       JobSpec spec = need.job().spec();
       if (need.ours() || spec.shape() != JobSpec.Shape.GANG || need.count() < 2) {
         continue;
@@ -750,7 +749,7 @@
           w.idleSinceMicros = nowMicros;
         }
         if (nowMicros - w.idleSinceMicros > policy.micros(Policy.Name.IDLE_KEEP)
-            && unneeded.contains(w.host())
+            && w.unneeded
             && wallMicros - w.rentedWallMicros() > LEAST_CHARGED_MICROS) {
           why = "idle";
         }
--- a/src/main/java/gladeknot/ledger/Ledger.java
+++ b/src/main/java/gladeknot/ledger/Ledger.java
@@ -27,11 +27,11 @@
   private static final String BARRIER_KEY = "/kv/" + ROOT + "-";
   private static final long CALL_MICROS = 2_500_000;
   private static final int FOLLOW_MS = 8_000;
-  private static final long FOLLOW_GAP_MICROS = 65_000;
-  private static final long BARRIER_GAP_MICROS = 200_000;
+  private static final long FOLLOW_GAP_MICROS = 110_000;
+  private static final long BARRIER_GAP_MICROS = 300_000;
   private static final long BARRIER_WAIT_MICROS = 1_500_000;
   private static final int PAGE = 400;
-  private static final double WRITE_SHARE = 1.5;
+  private static final double WRITE_SHARE = 2.0;
 
   /** A key's value and the stamp of its last change. */
   public record Entry(Map<String, Object> data, long stamp) {}
@@ -153,7 +153,10 @@
 
   /** How many writes there are tokens for, leaving some to more urgent ones. */
   public int writesLeft(double keepShare) {
-    return (int) writes.left(keepShare * writes.burst(), nowMicros);
+    int left = (int) writes.left(keepShare * writes.burst(), nowMicros);
+    // However small the bucket is, a claim's two writes must be able to go some time.
+    boolean full = writes.left(0, nowMicros) >= writes.burst();
+    return full ? Math.max(2, left) : left;
   }
 
   /** Lets time pass. */
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -14,6 +14,7 @@
 import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +26,7 @@
 /** Decides starts on the workers of the shards that are ours. */
 public final class Placer {
   private static final Logger LOG = LoggerFactory.getLogger(Placer.class);
-  private static final long PASS_MICROS = 40_000;
+  private static final long PASS_MICROS = 80_000;
 
   /** Workers become usable with time as well: a pass comes now and then in any case. */
   private static final long AGAIN_MICROS = 400_000;
@@ -37,6 +38,9 @@
 
   private static final long GUARANTEE_MARGIN_MICROS = 1_000_000;
 
+  /** How many seconds of fetching an image a task would rather wait than keep such a machine. */
+  private static final double UNNEEDED = 8;
+
   /** How long one shard after the other holds on to a budget that is too small for its gang. */
   private static final long TURN_MICROS = 10_000_000;
 
@@ -78,6 +82,24 @@
   private final Urgency urgency;
   private final Supplier<List<String>> zonesOffered;
   private final Map<String, Budgets.Amount> left = new HashMap<>();
+
+  /** What decides whether a machine takes a task, for jobs that may be in any zones. */
+  private record Kind(
+      long cpus,
+      long gpus,
+      long memory,
+      List<String> types,
+      String zone,
+      boolean spot,
+      boolean service) {}
+
+  /**
+   * Kinds of tasks that no machine has room for, and that none will have once what stops has
+   * stopped: room only shrinks while a pass goes on, so one look serves all slices that wait.
+   */
+  private final Set<Kind> full = new HashSet<>();
+
+  private final Set<Kind> hopeless = new HashSet<>();
   private final long guaranteeMicros;
   private long passes;
   private long nextMicros;
@@ -160,11 +182,11 @@
                 w.slice().shard(),
                 (int) n,
                 !w.foreign(),
-                w.key() >= Urgency.LATE_KEY
+                urgency.late(w.job(), wallMicros)
                     && w.slice().waitingSinceMicros != 0
                     && nowMicros - w.slice().waitingSinceMicros
                         > policy.micros(Policy.Name.PATIENCE),
-                slices.zoneCounts(w.slice().job())));
+                zoneCounts(spec)));
       }
     }
     return new Queue(queue);
@@ -255,9 +277,11 @@
 
   private void pass(int shard) {
     left.clear();
+    full.clear();
+    hopeless.clear();
     budgets.clear(shard);
     preemption.forgetVictims();
-    urgency.refresh(nowMicros, wallMicros);
+    urgency.refresh(nowMicros, wallMicros, this::places);
     preemption.refresh(membership.shards(), nowMicros);
     List<Room> rooms = new ArrayList<>();
     for (Worker w : workers.of(shard)) {
@@ -323,6 +347,22 @@
     return new Waiting(s, job, foreign, starved, guaranteed, urgency.key(job));
   }
 
+  /** How many tasks of a job with a deadline could be at work at once, by CPUs. */
+  private int places(JobSpec spec) {
+    long cpus = 0;
+    for (Worker w : workers.all()) {
+      MachineType type = types.get(w.type());
+      if (w.entered() && !w.leaving() && type != null && type.gpus() == 0) {
+        cpus += type.cpus();
+        for (Attempt a : w.attempts().values()) {
+          Job job = a.closed ? null : jobs.active(a.slice().job());
+          cpus -= job != null && job.spec().dueMicros() == 0 ? a.slice().cpus() : 0;
+        }
+      }
+    }
+    return (int) Math.max(0, Math.min(cpus / spec.cpus(), Integer.MAX_VALUE));
+  }
+
   private boolean begun(Job job) {
     for (Slice s : slices.of(job.id())) {
       if (s.live() > 0 || !s.done.isEmpty()) {
@@ -409,9 +449,13 @@
     }
     int placed = 0;
     int next = s.nextTodo(0);
-    while (placed < count && next >= 0) {
+    Kind kind = kind(spec);
+    while (placed < count && next >= 0 && !full.contains(kind)) {
       Room room = best(s, spec, rooms, null);
       if (room == null) {
+        if (kind != null) {
+          full.add(kind);
+        }
         break;
       }
       start(s, next, s.nextNumber(), room);
@@ -496,8 +540,27 @@
     return false;
   }
 
+  /** Where a job's tasks are, as far as that decides where the next may go. */
+  private Map<String, Integer> zoneCounts(JobSpec spec) {
+    return spec.scatter() || spec.together() ? slices.zoneCounts(spec.id()) : new HashMap<>();
+  }
+
+  /** Null for jobs whose tasks' zones depend on one another. */
+  private static Kind kind(JobSpec spec) {
+    return spec.scatter() || spec.together()
+        ? null
+        : new Kind(
+            spec.cpus(),
+            spec.gpus(),
+            spec.memory(),
+            spec.types(),
+            spec.zone(),
+            spec.spot(),
+            spec.shape() == JobSpec.Shape.SERVICE);
+  }
+
   private Room best(Slice s, JobSpec spec, List<Room> rooms, String zone) {
-    return best(s, spec, rooms, zone, slices.zoneCounts(s.job()));
+    return best(s, spec, rooms, zone, zoneCounts(spec));
   }
 
   /** The room that suits a task best; null if none does. */
@@ -541,7 +604,9 @@
                 && !settings.controllerZones().contains(room.worker.zone())
             ? 2
             : 0;
-    return fetch + gpus + kind + spread + empty + lonely;
+    // A machine that is not needed is to run empty and be given back.
+    double unneeded = room.worker.unneeded ? UNNEEDED : 0;
+    return fetch + gpus + kind + spread + empty + lonely + unneeded;
   }
 
   private void start(Slice s, int task, long number, Room room) {
@@ -563,6 +628,9 @@
       return 0;
     }
     int todo = from.todoCount();
+    if (!gang && full.contains(kind(spec))) {
+      return Math.min(todo, allowedByBudget(spec, shard));
+    }
     if (recorder.busy(from)) {
       // Until the part that it lies in is written, room is held for it: if others got that, they
       // would be stopped for it again.
@@ -644,7 +712,11 @@
     preemption.patience(w.guaranteed() && waited >= policy.micros(Policy.Name.STOP_EQUAL_AFTER));
     mayStop = mayStop && preemption.anyVictim(spec, workers.of(shard), nowMicros);
     int rest = count;
-    Map<String, Integer> perZone = slices.zoneCounts(w.slice().job());
+    Kind kind = kind(spec);
+    if (!gang && !mayStop && hopeless.contains(kind)) {
+      return;
+    }
+    Map<String, Integer> perZone = zoneCounts(spec);
     Set<Attempt> victims = new LinkedHashSet<>();
     List<Chance> chances = new ArrayList<>();
     for (Room room : rooms) {
@@ -655,6 +727,9 @@
         }
       }
     }
+    if (chances.isEmpty() && kind != null) {
+      hopeless.add(kind);
+    }
     while (rest > 0) {
       int best = -1;
       double bestCost = 0;
@@ -691,6 +766,7 @@
       for (Attempt a : victims) {
         LOG.info("stop {} for {}", a, spec.id());
         preemption.stopped(a);
+        hopeless.clear();
         scheduler.kill(a, preemption.graceS(a));
       }
       for (int i = rest; i < count; i++) {
--- a/src/main/java/gladeknot/placement/Recorder.java
+++ b/src/main/java/gladeknot/placement/Recorder.java
@@ -38,14 +38,9 @@
   /** Ends wait so long for company; starts and what completes a slice don't. */
   private static final long END_WAIT_MICROS = 700_000;
 
-  /**
-   * Write tokens that are left to submissions and aborts, as a share: users wait for those. Claims
-   * leave more: they conflict most and are the least urgent.
-   */
+  /** Write tokens that are left to submissions and aborts, as a share: users wait for those. */
   private static final double KEEP = 0.3;
 
-  private static final double CLAIMS_KEEP = 0.45;
-
   /** A change of one whole key for a shard. */
   public record Extra(
       int shard, Write write, Map<String, Long> conditions, Consumer<Boolean> then) {}
@@ -152,18 +147,15 @@
     if (dirty.isEmpty() && extras.isEmpty() && edits.isEmpty()) {
       return;
     }
-    Batch batch = null;
-    if (claimsNext) {
-      batch = gatherClaims();
+    // Claims and all else go by turns. A claim takes two writes at least, and the room that it was
+    // decided on stays taken until it is committed: if the others used up what there is each time,
+    // it would wait for ever.
+    Batch batch = claimsNext ? gatherClaims() : gather();
+    claimsNext = (batch == null) == claimsNext;
+    if (batch != null && batch.operations() == 0) {
+      batch = claimsNext ? gatherClaims() : gather();
     }
-    claimsNext = !claimsNext;
     if (batch == null || batch.operations() == 0) {
-      batch = gather();
-    }
-    if (batch.operations() == 0) {
-      batch = gatherClaims();
-    }
-    if (batch.operations() == 0) {
       return;
     }
     if (!ledger.takeWrites(batch.operations(), 0)) {
@@ -221,13 +213,14 @@
         || jobs.active(s.job()) == null;
   }
 
-  /** Gathers claims: they rely on other shards' parts, and what fails with them is little. */
+  /**
+   * Gathers claims: they rely on other shards' parts, and what fails with them is little. Null if
+   * there are some that tokens are still to come for.
+   */
   private Batch gatherClaims() {
     Batch batch = new Batch();
-    int room = room(CLAIMS_KEEP);
-    if (room < 2) {
-      return batch;
-    }
+    int room = room(KEEP);
+    boolean wanting = false;
     for (Slice s : List.copyOf(dirty)) {
       if (s.claims.isEmpty() || !membership.commitsFor(s.shard())) {
         continue;
@@ -236,6 +229,7 @@
       keys.add(s.key());
       s.claims.keySet().forEach(from -> keys.add(from.key()));
       if (keys.size() > room || batch.bytes > MAX_BYTES) {
+        wanting = true;
         continue;
       }
       if (claimTwice(s, batch)) {
@@ -244,7 +238,7 @@
       }
       gather(s, batch);
     }
-    return batch;
+    return batch.operations() == 0 && wanting ? null : batch;
   }
 
   private static boolean claimTwice(Slice s, Batch batch) {
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -24,10 +24,13 @@
    * services, which change seldom, lie apart from arrays: starts of spread jobs are conditional on
    * them.
    */
-  private static final int ARRAY_PARTS = 3;
+  private static final int ARRAY_PARTS = 4;
 
   private static final int WHOLE_PARTS = 2;
 
+  /** Stands for all tasks in a record: slices that are done outnumber the others. */
+  private static final String ALL = "*";
+
   private final String key;
   private final int shard;
   private final String job;
@@ -175,7 +178,7 @@
     assigned.clear();
     assigned.or(Ranges.parse(f[5]));
     done.clear();
-    done.or(Ranges.parse(f[6]));
+    done.or(f[6].equals(ALL) ? assigned : Ranges.parse(f[6]));
     savedDone = (BitSet) done.clone();
     List<Attempt> attempts = new ArrayList<>();
     if (!f[7].isEmpty()) {
@@ -209,7 +212,8 @@
     StringBuilder text = new StringBuilder(120);
     text.append(team).append('|').append(cpus).append('|').append(gpus).append('|');
     text.append(memory).append('|').append(counter).append('|');
-    text.append(Ranges.text(tasks)).append('|').append(Ranges.text(done)).append('|');
+    text.append(Ranges.text(tasks)).append('|');
+    text.append(done.equals(tasks) ? ALL : Ranges.text(done)).append('|');
     boolean first = true;
     for (Attempt a : out.values()) {
       if (!a.closed) {
--- a/src/main/java/gladeknot/placement/Urgency.java
+++ b/src/main/java/gladeknot/placement/Urgency.java
@@ -2,6 +2,7 @@
 
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobBook;
+import gladeknot.jobs.JobSpec;
 import gladeknot.settings.Settings;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -73,8 +74,24 @@
     return (int) Math.min(key / TIER, 8);
   }
 
+  /** Whether a job is late for all its deadlines, however soon its tasks run. */
+  boolean late(Job job, long wallMicros) {
+    double last = 0;
+    for (double time : known.getOrDefault(job.spec().jobClass(), Map.of()).keySet()) {
+      last = Math.max(last, time);
+    }
+    return job.spec().dueMicros() > 0
+        && wallMicros + estimates.runMicros(job.spec())
+            > job.submittedMicros() + (long) (job.spec().dueMicros() * last);
+  }
+
+  /** How many tasks of a job the machines, there or coming, have places for. */
+  interface Places {
+    int of(JobSpec spec);
+  }
+
   /** Works the order out anew, now and then. */
-  void refresh(long nowMicros, long wallMicros) {
+  void refresh(long nowMicros, long wallMicros, Places places) {
     if (nowMicros < nextMicros && seenChanges == jobs.changes()) {
       return;
     }
@@ -91,6 +108,9 @@
         }
       }
     }
+    if (!open.isEmpty()) {
+      slots = Math.max(slots, places.of(open.get(0).spec()));
+    }
     long doneWork = 0;
     for (int i = 0; i < times.size() && !open.isEmpty(); i++) {
       List<Job> late = new ArrayList<>();
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -56,6 +56,9 @@
   /** Since when nothing is on it; 0 while something is. */
   public long idleSinceMicros;
 
+  /** Whether the work there is likely to be fits on the other machines. */
+  public boolean unneeded;
+
   /** Whether its release is under way. */
   public boolean releasing;
 
--- a/src/test/java/gladeknot/placement/UrgencyTest.java
+++ b/src/test/java/gladeknot/placement/UrgencyTest.java
@@ -76,7 +76,7 @@
       slices.jobChanged(w.id(), jobs.active(w.id()));
     }
     Urgency urgency = new Urgency(settings, jobs, slices, new Estimates());
-    urgency.refresh(NOW, NOW);
+    urgency.refresh(NOW, NOW, spec -> 1);
     return jobs.active().stream()
         .sorted(Comparator.comparingLong(urgency::key))
         .map(Job::id)
