--- a/src/main/java/gladeknot/app/Service.java
+++ b/src/main/java/gladeknot/app/Service.java
@@ -17,7 +17,7 @@
 /** Runs the core on one event loop: carries its calls and answers out, lets its time pass. */
 public final class Service {
   private static final Logger LOG = LoggerFactory.getLogger(Service.class);
-  private static final long TICK_MS = 80;
+  private static final long TICK_MS = 50;
 
   /** Sockets kept for calls to other services. */
   private static final int OWN_SOCKETS = 100;
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -26,7 +26,7 @@
 /** Decides starts on the workers of the shards that are ours. */
 public final class Placer {
   private static final Logger LOG = LoggerFactory.getLogger(Placer.class);
-  private static final long PASS_MICROS = 80_000;
+  private static final long PASS_MICROS = 60_000;
 
   /** Workers become usable with time as well: a pass comes now and then in any case. */
   private static final long AGAIN_MICROS = 400_000;
@@ -353,7 +353,10 @@
     for (Worker w : workers.all()) {
       MachineType type = types.get(w.type());
       if (w.entered() && !w.leaving() && type != null && type.gpus() == 0) {
-        cpus += type.cpus();
+        // One that is long since meant to be up and has nothing on it while work waits is of no
+        // use.
+        boolean coming = wallMicros - w.rentedWallMicros() < 2 * type.readyMicros();
+        cpus += coming || !w.attempts().isEmpty() ? type.cpus() : 0;
         for (Attempt a : w.attempts().values()) {
           Job job = a.closed ? null : jobs.active(a.slice().job());
           cpus -= job != null && job.spec().dueMicros() == 0 ? a.slice().cpus() : 0;
