--- /dev/null
+++ b/src/test/java/gladeknot/placement/SliceTest.java
@@ -0,0 +1,69 @@
+package gladeknot.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.jobs.JobSpec;
+import gladeknot.standin.World;
+import java.util.BitSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a slice's record keeps, and how little room it takes. */
+class SliceTest {
+  private static Slice slice(int tasks) throws JobSpec.Malformed {
+    JobSpec spec = JobSpec.parse(World.job("req-1", "array", tasks));
+    Slice s = new Slice(Slice.key(1, spec), 1, 3, "req-1");
+    s.usage(spec);
+    s.assigned.set(0, tasks);
+    return s;
+  }
+
+  private static Slice again(String record) {
+    Slice s = new Slice("g/sl/1/a0", 1, 3, "req-1");
+    for (Attempt a : s.read(record, 0)) {
+      s.out.put(a.task(), a);
+    }
+    return s;
+  }
+
+  @Test
+  void comesBackAsItWas() throws JobSpec.Malformed {
+    Slice s = slice(20);
+    s.done.set(3, 9);
+    long number = s.nextNumber();
+    s.out.put(11, new Attempt(s, 11, number, "vm-000231", 0));
+    Slice read = again(s.record());
+    assertEquals(s.assigned, read.assigned);
+    assertEquals(s.done, read.done);
+    assertEquals("req-1/11 attempt " + number + " on vm-000231", read.out.get(11).toString());
+    assertTrue(read.out.get(11).committed() && read.out.get(11).sent);
+    // Numbers never repeat, whoever goes on.
+    assertTrue(read.nextNumber() > number);
+    assertEquals(s.record(), read.record().replace("|" + read.counter + "|", "|1|"));
+  }
+
+  /** Done slices outnumber the others while their jobs go on, and filled a part once. */
+  @Test
+  void aDoneSliceTakesLittleHoweverScatteredItsTasks() throws JobSpec.Malformed {
+    Slice s = slice(250);
+    for (int t = 0; t < 250; t += 2) {
+      s.assigned.clear(t);
+    }
+    int open = s.record().length();
+    s.done.or(s.assigned);
+    assertTrue(s.record().length() <= open + 1);
+    assertEquals(s.assigned, again(s.record()).done);
+  }
+
+  @Test
+  void aClaimLeavesTheRest() throws JobSpec.Malformed {
+    Slice s = slice(10);
+    s.done.set(0);
+    BitSet left = new BitSet();
+    left.set(0, 4);
+    Slice read = again(s.record(left));
+    assertEquals(left, read.assigned);
+    assertEquals(List.of(1, 2, 3), read.assigned.stream().filter(read::isTodo).boxed().toList());
+  }
+}
--- /dev/null
+++ b/src/test/java/gladeknot/workers/WorkerBookTest.java
@@ -0,0 +1,124 @@
+package gladeknot.workers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.http.Json;
+import gladeknot.ledger.Ledger;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Machines by their keys: entered, moved to another shard, given back for good. */
+class WorkerBookTest {
+  private static final String KEY = Worker.key("vm-000231");
+
+  private static String record(int shard) {
+    return Worker.record(shard, "small", "a", true, 5, false);
+  }
+
+  private static Ledger.Entry entry(Object... fields) {
+    return new Ledger.Entry(Json.of(fields), 1);
+  }
+
+  @Test
+  void namesInARowShareAKeyAndComeBackFromIt() {
+    for (String host : List.of("vm-000230", "vm-000239", "vm-00023x")) {
+      assertEquals(KEY, Worker.key(host));
+      assertEquals(host, Worker.host(Worker.key(host), Worker.field(host)));
+    }
+    assertFalse(KEY.equals(Worker.key("vm-000240")));
+  }
+
+  @Test
+  void aMachineMovesAndItsSessionIsForgotten() throws Report.Malformed {
+    WorkerBook book = new WorkerBook();
+    Ledger.Entry first = entry("1", record(0), "2", record(0));
+    book.changed(KEY, null, first);
+    Worker w = book.get("vm-000231");
+    w.report(report(1, 4, 7), 100);
+    book.changed(KEY, first, entry("1", record(2), "2", record(0)));
+    assertEquals(2, w.shard());
+    assertNull(w.report());
+    assertEquals(List.of(w), List.copyOf(book.of(2)));
+    assertEquals(1, book.of(0).size());
+  }
+
+  @Test
+  void whatWasGivenBackStaysKnownAsThat() {
+    WorkerBook book = new WorkerBook();
+    Ledger.Entry first = entry("1", record(0));
+    book.changed(KEY, null, first);
+    book.changed(KEY, first, entry("1", Worker.RELEASED));
+    assertNull(book.get("vm-000231"));
+    assertTrue(book.of(0).isEmpty());
+    assertTrue(book.released("vm-000231"));
+    assertFalse(book.released("vm-000232"));
+  }
+
+  /**
+   * An answer renews a lease only if it got there, which the token of a later report tells: an
+   * answer that did not must not keep a task from being started elsewhere.
+   */
+  @Test
+  void anAnswerThatWasLostDoesNotCount() throws Report.Malformed {
+    WorkerBook book = new WorkerBook();
+    book.changed(KEY, null, entry("1", record(0)));
+    Worker w = book.get("vm-000231");
+    long never = w.answeredMicros();
+    w.report(report(1, 1, 0), 1_000);
+    w.answered(1_100, 9);
+    assertEquals(1_100, w.answeredMicros());
+    w.report(report(1, 2, 0), 5_000);
+    assertEquals(never, w.answeredMicros());
+    w.answered(5_100, 9);
+    w.report(report(1, 3, 9), 7_000);
+    assertEquals(5_100, w.answeredMicros());
+    // Under a higher term nothing is known of the older answer but that it was good in its time.
+    w.answered(7_100, 12);
+    w.report(report(1, 4, 9), 9_000);
+    assertEquals(5_100, w.answeredMicros());
+  }
+
+  @Test
+  void aSessionThatOutlastsALeaseHasBeenAnswered() throws Report.Malformed {
+    WorkerBook book = new WorkerBook();
+    book.changed(KEY, null, entry("1", record(0)));
+    Worker w = book.get("vm-000231");
+    w.report(report(3, 1, 9), 0);
+    w.doesNotHear(0);
+    w.report(report(3, 2, 9), 10);
+    w.judgeHearing(10, 50);
+    assertTrue(w.deaf() && !w.surelyDeaf());
+    w.report(report(3, 3, 9), 60);
+    w.judgeHearing(60, 50);
+    assertFalse(w.deaf());
+    w.doesNotHear(60);
+    w.report(report(4, 4, 9), 80);
+    w.judgeHearing(80, 50);
+    assertTrue(w.surelyDeaf());
+  }
+
+  private static Report report(long tenure, long tick, long token) throws Report.Malformed {
+    return Report.parse(
+        Map.of(
+            "host",
+            "vm-000231",
+            "endpoint",
+            "h:1",
+            "hosttype",
+            "small",
+            "glade",
+            "a",
+            "tenure",
+            tenure,
+            "tick",
+            tick,
+            "fence",
+            token,
+            "strands",
+            List.of()));
+  }
+}
