Looks at the fleet cost no more a task as it grows: lines by zone, cursors, counts kept

A profile of the core on this repository's stand-ins (1060 machines, five controllers) had a fifth of it in the forecast's and the capacity plan's walk over all machines for each replica, a tenth in counting the fleet's CPUs for each job that came or ended.

--- a/src/main/java/gladeknot/fleet/Capacity.java
+++ b/src/main/java/gladeknot/fleet/Capacity.java
@@ -3,8 +3,11 @@
 import gladeknot.jobs.JobSpec;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Puts tasks into empty machines in thought, the cheapest machines first. */
 final class Capacity {
@@ -33,11 +36,15 @@
       return used;
     }
 
+    private boolean fits(JobSpec spec) {
+      return spec.allows(type.name(), zone, spot)
+          && cpus >= spec.cpus()
+          && gpus >= spec.gpus()
+          && memory >= spec.memory();
+    }
+
     private boolean take(JobSpec spec) {
-      if (!spec.allows(type.name(), zone, spot)
-          || cpus < spec.cpus()
-          || gpus < spec.gpus()
-          || memory < spec.memory()) {
+      if (!fits(spec)) {
         return false;
       }
       cpus -= spec.cpus();
@@ -53,11 +60,14 @@
   }
 
   private final List<Box> boxes = new ArrayList<>();
+  private final Set<String> zones = new LinkedHashSet<>();
 
   void add(Box box) {
     boxes.add(box);
+    zones.add(box.zone);
   }
 
+  /** Puts the cheapest first; only while nothing is in them. */
   void sort() {
     boxes.sort(
         Comparator.<Box>comparingInt(b -> b.type.gpus() > 0 ? 1 : 0)
@@ -65,38 +75,82 @@
             .thenComparing(b -> b.host));
   }
 
+  /** What decides whether a machine takes a task; many jobs share it. */
+  private record Kind(
+      long cpus, long gpus, long memory, List<String> types, boolean spot, boolean service) {
+    private Kind(JobSpec spec) {
+      this(
+          spec.cpus(),
+          spec.gpus(),
+          spec.memory(),
+          spec.types(),
+          spec.spot(),
+          spec.shape() == JobSpec.Shape.SERVICE);
+    }
+  }
+
+  /**
+   * The first machine of each zone that may still take a task of a kind. Machines only fill up, so
+   * those before it need no second look: one look at each of them for every replica was most of
+   * what planning for a large fleet took.
+   */
+  private final Map<Kind, Map<String, Integer>> firsts = new HashMap<>();
+
+  private long looks;
+
+  /** How many times a machine was looked at for a task. */
+  long looks() {
+    return looks;
+  }
+
+  /** The first machine of a zone that has room for a task; its place, or the number of all. */
+  private int first(JobSpec spec, Map<String, Integer> places, String zone) {
+    int i = places.getOrDefault(zone, 0);
+    while (i < boxes.size() && !(boxes.get(i).zone.equals(zone) && takes(boxes.get(i), spec))) {
+      i++;
+    }
+    places.put(zone, i);
+    return i;
+  }
+
+  private boolean takes(Box box, JobSpec spec) {
+    looks++;
+    boolean wasteful =
+        spec.shape() == JobSpec.Shape.SERVICE && spec.gpus() == 0 && box.type.gpus() > 0;
+    return !wasteful && box.fits(spec);
+  }
+
   /** Puts one task in; false if no machine takes it. */
   boolean put(JobSpec spec, Map<String, Integer> inZone) {
-    for (Box box : boxes) {
-      if (spec.shape() == JobSpec.Shape.SERVICE && spec.gpus() == 0 && box.type.gpus() > 0) {
-        continue;
-      }
-      if (spec.zoneOpen(box.zone, inZone) && box.take(spec)) {
-        inZone.merge(box.zone, 1, Integer::sum);
-        return true;
+    return put(spec, inZone, firsts.computeIfAbsent(new Kind(spec), k -> new HashMap<>()));
+  }
+
+  private boolean put(JobSpec spec, Map<String, Integer> inZone, Map<String, Integer> places) {
+    int best = boxes.size();
+    for (String zone : zones) {
+      boolean allowed = spec.zone() == null || spec.zone().equals(zone);
+      if (allowed && spec.zoneOpen(zone, inZone)) {
+        best = Math.min(best, first(spec, places, zone));
       }
     }
-    return false;
+    if (best == boxes.size()) {
+      return false;
+    }
+    boxes.get(best).take(spec);
+    inZone.merge(boxes.get(best).zone, 1, Integer::sum);
+    return true;
   }
 
   /**
    * Puts many tasks of one job in, as far as machines take them; returns how many found a place.
-   * Only for jobs that may be in any zone: each machine is looked at once.
    */
-  int put(JobSpec spec, int count) {
-    int rest = count;
-    for (Box box : boxes) {
-      if (spec.shape() == JobSpec.Shape.SERVICE && spec.gpus() == 0 && box.type.gpus() > 0) {
-        continue;
-      }
-      while (rest > 0 && box.take(spec)) {
-        rest--;
-      }
-      if (rest == 0) {
-        break;
-      }
+  int put(JobSpec spec, int count, Map<String, Integer> inZone) {
+    Map<String, Integer> places = firsts.computeIfAbsent(new Kind(spec), k -> new HashMap<>());
+    int n = 0;
+    while (n < count && put(spec, inZone, places)) {
+      n++;
     }
-    return count - rest;
+    return n;
   }
 
   /** Puts tasks in one machine; returns how many it took. */
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -251,13 +251,10 @@
         long by = nowMicros + policy.micros(Policy.Name.PATIENCE);
         inZone.put(forecast.roomiest(spec, only, by, zonesOffered()), 0);
       }
-      boolean anywhere = only < 0 && !need.starved() && !spec.scatter() && !spec.together();
       for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
         looked++;
         Forecast.Slot slot =
-            anywhere
-                ? forecast.first(spec)
-                : need.starved() ? forecast.fresh(spec, inZone) : forecast.best(spec, inZone, only);
+            need.starved() ? forecast.fresh(spec, inZone) : forecast.best(spec, inZone, only);
         long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
         if (i < mine) {
           long latest = latestStart(need.job(), careful, at);
@@ -306,11 +303,7 @@
     Map<Offer, Integer> wanted = new LinkedHashMap<>();
     for (Job job : placer.services()) {
       Map<String, Integer> inZone = new HashMap<>();
-      for (int i = 0; i < job.tasks(); i++) {
-        if (!capacity.put(job.spec(), inZone)) {
-          break;
-        }
-      }
+      capacity.put(job.spec(), job.tasks(), inZone);
     }
     List<Demand.Load> loads =
         new ArrayList<>(
@@ -323,7 +316,7 @@
       int tasks = (int) Math.ceil(target(load));
       Map<String, Integer> inZone = new HashMap<>();
       boolean anywhere = !spec.scatter() && !spec.together();
-      int first = anywhere ? capacity.put(spec, tasks) : 0;
+      int first = anywhere ? capacity.put(spec, tasks, new HashMap<>()) : 0;
       for (int i = first; i < tasks && i < MOST_FORECAST; i++) {
         if (i % Math.max(1, spec.tasks()) == 0) {
           inZone.clear();
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 
 /**
  * When waiting tasks will start on the machines there are: each machine's room over time, as
@@ -106,6 +108,7 @@
       JobSpec.Rank rank, Slot slot, long from, long to, long cpus, long gpus, long memory) {}
 
   private final List<Slot> slots = new ArrayList<>();
+  private final Set<String> zones = new LinkedHashSet<>();
   private final List<Running> running = new ArrayList<>();
 
   /** Notes a task that runs; it counts once its rank has been admitted. */
@@ -128,7 +131,8 @@
 
   void add(Slot slot) {
     slots.add(slot);
-    lines.values().forEach(line -> line.add(slot));
+    zones.add(slot.zone);
+    lines.values().forEach(line -> line.add(slot, slots.size() - 1));
   }
 
   /** A machine that has room already, or will when it is up; null if none has. */
@@ -141,97 +145,114 @@
     return null;
   }
 
-  /** Where a task would finish first; null if nowhere. */
-  Slot best(JobSpec spec, Map<String, Integer> inZone) {
-    return best(spec, inZone, -1);
-  }
-
-  /** What decides on which machines tasks may go and when: many jobs share it. */
+  /**
+   * What decides on which machines tasks may go and when: many jobs share it. A line is for one
+   * zone and, for gangs, for one shard's machines (-1: for all).
+   */
   private record Kind(
       long cpus,
       long gpus,
       long memory,
       String image,
       List<String> types,
+      boolean spot,
       String zone,
-      boolean spot) {}
+      int shard) {}
 
   /**
    * The machines in the order in which they could run a task of a kind. What is put in only makes a
-   * machine later, so a machine's time is worked out again only when it comes to the front.
+   * machine later, so a machine's time is worked out again only when it comes to the front: a look
+   * at every machine for every waiting task took most of a large fleet's forecasts.
    */
-  private static final class Line {
+  private final class Line {
     private record Place(long at, int order, Slot slot) {}
 
     private final JobSpec spec;
+    private final Kind kind;
     private final PriorityQueue<Place> places =
         new PriorityQueue<>(Comparator.comparingLong(Place::at).thenComparingInt(Place::order));
 
-    private Line(JobSpec spec) {
+    private Line(JobSpec spec, Kind kind) {
       this.spec = spec;
+      this.kind = kind;
+      for (int i = 0; i < slots.size(); i++) {
+        add(slots.get(i), i);
+      }
     }
 
-    private void add(Slot slot) {
+    private void add(Slot slot, int order) {
+      if (slot.zone.equals(kind.zone()) && (kind.shard() < 0 || slot.shard == kind.shard())) {
+        put(slot, order);
+      }
+    }
+
+    private void put(Slot slot, int order) {
+      looks++;
       long at = slot.earliest(spec);
       if (at < NEVER) {
-        places.add(new Place(at + slot.fetchMicros(spec), places.size(), slot));
+        places.add(new Place(at + slot.fetchMicros(spec), order, slot));
       }
     }
 
-    private Slot best() {
+    private Place best() {
       while (!places.isEmpty()) {
         Place first = places.peek();
-        Slot slot = first.slot();
-        long at = slot.earliest(spec);
-        if (at < NEVER && at + slot.fetchMicros(spec) <= first.at()) {
-          return slot;
+        looks++;
+        long at = first.slot().earliest(spec);
+        if (at < NEVER && at + first.slot().fetchMicros(spec) <= first.at()) {
+          return first;
         }
         places.poll();
-        if (at < NEVER) {
-          places.add(new Place(at + slot.fetchMicros(spec), first.order(), slot));
-        }
+        put(first.slot(), first.order());
       }
       return null;
     }
   }
 
   private final Map<Kind, Line> lines = new HashMap<>();
+  private long looks;
 
-  /** Where a task of a job that may go to any zone would run first; null if nowhere. */
-  Slot first(JobSpec spec) {
-    Kind kind =
-        new Kind(
-            spec.cpus(),
-            spec.gpus(),
-            spec.memory(),
-            spec.image(),
-            spec.types(),
-            spec.zone(),
-            spec.spot());
-    Line line = lines.get(kind);
-    if (line == null) {
-      line = new Line(spec);
-      slots.forEach(line::add);
-      lines.put(kind, line);
-    }
-    return line.best();
+  /** How many times a machine was looked at for a task. */
+  long looks() {
+    return looks;
+  }
+
+  /** Where a task would run first; null if nowhere. */
+  Slot best(JobSpec spec, Map<String, Integer> inZone) {
+    return best(spec, inZone, -1);
   }
 
   /** The same on one shard's machines alone, as a gang needs them; -1: on all. */
   Slot best(JobSpec spec, Map<String, Integer> inZone, int shard) {
-    Slot best = null;
-    long bestAt = NEVER;
-    for (Slot slot : slots) {
-      if (!spec.zoneOpen(slot.zone, inZone) || (shard >= 0 && slot.shard != shard)) {
+    Line.Place best = null;
+    for (String zone : zones) {
+      if (!spec.zoneOpen(zone, inZone) || (spec.zone() != null && !spec.zone().equals(zone))) {
         continue;
       }
-      long at = slot.earliest(spec);
-      if (at < NEVER && at + slot.fetchMicros(spec) < bestAt) {
-        best = slot;
-        bestAt = at + slot.fetchMicros(spec);
+      Kind kind =
+          new Kind(
+              spec.cpus(),
+              spec.gpus(),
+              spec.memory(),
+              spec.image(),
+              spec.types(),
+              spec.spot(),
+              zone,
+              shard);
+      Line line = lines.get(kind);
+      if (line == null) {
+        line = new Line(spec, kind);
+        lines.put(kind, line);
+      }
+      Line.Place first = line.best();
+      if (first != null
+          && (best == null
+              || first.at() < best.at()
+              || (first.at() == best.at() && first.order() < best.order()))) {
+        best = first;
       }
     }
-    return best;
+    return best == null ? null : best.slot();
   }
 
   /** The zone in which a shard has most room for a job's tasks by a time. */
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -31,6 +31,9 @@
   /** Workers become usable with time as well: a pass comes now and then in any case. */
   private static final long AGAIN_MICROS = 400_000;
 
+  /** How often the machines' CPUs are counted anew. */
+  private static final long PLACES_MICROS = 1_000_000;
+
   private static final long FOREIGN_STEP_MICROS = 1_500_000;
 
   /** From a decision to a running task, where nothing is known yet. */
@@ -104,6 +107,8 @@
   private long passes;
   private long nextMicros;
   private long againMicros;
+  private long nextPlacesMicros;
+  private long deadlineCpus;
   private long nowMicros;
   private long wallMicros;
 
@@ -349,6 +354,16 @@
 
   /** How many tasks of a job with a deadline could be at work at once, by CPUs. */
   private int places(JobSpec spec) {
+    if (nowMicros >= nextPlacesMicros) {
+      // A walk over the whole fleet and all that is on it: not for each job that comes or ends.
+      nextPlacesMicros = nowMicros + PLACES_MICROS;
+      deadlineCpus = deadlineCpus();
+    }
+    return (int) Math.max(0, Math.min(deadlineCpus / spec.cpus(), Integer.MAX_VALUE));
+  }
+
+  /** The CPUs that work with deadlines has or could get. */
+  private long deadlineCpus() {
     long cpus = 0;
     for (Worker w : workers.all()) {
       MachineType type = types.get(w.type());
@@ -363,7 +378,7 @@
         }
       }
     }
-    return (int) Math.max(0, Math.min(cpus / spec.cpus(), Integer.MAX_VALUE));
+    return cpus;
   }
 
   private boolean begun(Job job) {
@@ -669,12 +684,12 @@
       tasks.set(task);
       task = from.nextTodo(task + 1);
     }
-    own.assigned.or(tasks);
+    own.assign(tasks);
     place(new Waiting(own, w.job(), false, w.starved(), w.guaranteed(), w.key()), rooms, shard);
     for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
       if (!own.out.containsKey(t)) {
         tasks.clear(t);
-        own.assigned.clear(t);
+        own.unassign(t);
       }
     }
     if (tasks.isEmpty()) {
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -60,6 +60,8 @@
 
   private int live = -1;
 
+  private int todo = -1;
+
   /** Since when it has something to write; 0 if it hasn't. */
   long dirtySinceMicros;
 
@@ -158,6 +160,7 @@
 
   /** Sets it to what the even split says, where no record is. */
   void reset(Job from) {
+    todo = -1;
     usage(from.spec());
     assigned.clear();
     assigned.or(share(from.spec(), from.home(), shard, shards));
@@ -168,6 +171,7 @@
 
   /** Sets it to its record; the attempts are returned, for the caller to take in. */
   List<Attempt> read(String record, long nowMicros) {
+    todo = -1;
     String[] f = record.split("\\|", -1);
     recorded = true;
     team = f[0];
@@ -238,6 +242,7 @@
     } else {
       done.set(task);
     }
+    todo = -1;
   }
 
   boolean isTodo(int task) {
@@ -255,14 +260,30 @@
   }
 
   public int todoCount() {
-    // Attempts are always of assigned tasks that are not done, but for those that just finished.
-    int open = 0;
-    for (Attempt a : out.values()) {
-      if (!done.get(a.task())) {
-        open++;
+    // Asked for at every look at what waits, in all shards.
+    if (todo < 0) {
+      // Attempts are always of assigned tasks that are not done, but for those that just finished.
+      int open = 0;
+      for (Attempt a : out.values()) {
+        if (!done.get(a.task())) {
+          open++;
+        }
       }
+      todo = assigned.cardinality() - done.cardinality() - open;
     }
-    return assigned.cardinality() - done.cardinality() - open;
+    return todo;
+  }
+
+  /** Takes tasks over from another slice. */
+  void assign(BitSet tasks) {
+    assigned.or(tasks);
+    todo = -1;
+  }
+
+  /** Lets go of tasks that were taken over and found no room. */
+  void unassign(int task) {
+    assigned.clear(task);
+    todo = -1;
   }
 
   /** Whether starts have been decided that are not committed yet. */
@@ -285,6 +306,7 @@
   /** An attempt has come, gone or ended. */
   void outChanged() {
     live = -1;
+    todo = -1;
   }
 
   boolean complete() {
