--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -56,29 +56,24 @@
   /** How long after a task's end a job is seen to be done. */
   private static final long TOLD_MICROS = 3_000_000;
 
-  /** What a second of lateness counts against a price an hour, when no offer is in time. */
-  private static final double LATE = 0.05;
-
-  private record Offer(MachineType type, String zone, boolean spot) {
-    String name() {
-      return type.name() + "/" + zone + "/" + (spot ? "spot" : "ordinary");
-    }
-  }
+  /**
+   * For so many machines the looks at the whole fleet are as frequent as named here; for more they
+   * come as much more seldom, so that what they cost a second stays the same. A machine takes many
+   * times as long to boot.
+   */
+  private static final double USUAL_FLEET = 250;
 
-  private static final class Backoff {
-    private long untilMicros;
-    private int times;
-  }
+  private static final double MOST_SLOWED = 5;
 
   /** A rental on its way: its machines count as coming until its answer is known. */
   private static final class Rental {
     private final String name;
-    private final Offer offer;
+    private final Offers.Offer offer;
     private final int number;
     private final int shard;
     private int tries;
 
-    private Rental(String name, Offer offer, int number, int shard) {
+    private Rental(String name, Offers.Offer offer, int number, int shard) {
       this.name = name;
       this.offer = offer;
       this.number = number;
@@ -96,8 +91,7 @@
   private final Outbox outbox;
   private final Tokens tokens;
   private Placer placer;
-  private final Map<String, MachineType> types = new LinkedHashMap<>();
-  private final Map<String, Backoff> backoffs = new HashMap<>();
+  private final Offers offers = new Offers();
   private final List<Rental> rentals = new ArrayList<>();
   private final Set<String> adopting = new HashSet<>();
   private final Map<String, Long> strangers = new HashMap<>();
@@ -113,6 +107,7 @@
   private long nextTypesMicros;
   private long nextStepMicros;
   private long nextListMicros;
+  private long nextRentMicros;
   private long nextPlanMicros;
   private boolean listing;
   private long rentalCount;
@@ -145,25 +140,20 @@
   }
 
   public MachineType type(String name) {
-    return types.get(name);
+    return offers.type(name);
   }
 
   /** Zones in which some type is offered. */
   public List<String> zonesOffered() {
-    return types.values().stream().flatMap(t -> t.zones().stream()).distinct().toList();
+    return offers.zones();
   }
 
   public boolean typesKnown() {
-    return !types.isEmpty();
+    return !offers.types().isEmpty();
   }
 
   public boolean fitsSomeType(JobSpec spec) {
-    return types.values().stream()
-        .anyMatch(
-            t ->
-                t.fits(spec) > 0
-                    && (spec.types() == null || spec.types().contains(t.name()))
-                    && (spec.zone() == null || t.zones().contains(spec.zone())));
+    return offers.fitsSome(spec);
   }
 
   public void tick(long now, long wall) {
@@ -172,10 +162,11 @@
     if (!askingTypes && now >= nextTypesMicros) {
       askTypes();
     }
-    if (now < nextStepMicros || !ledger.loaded() || types.isEmpty()) {
+    if (now < nextStepMicros || !ledger.loaded() || !typesKnown()) {
       return;
     }
     nextStepMicros = now + STEP_MICROS;
+    double slower = Math.max(1, Math.min(MOST_SLOWED, workers.all().size() / USUAL_FLEET));
     countZones();
     for (int shard : List.copyOf(membership.owned())) {
       if (membership.commitsFor(shard)) {
@@ -183,11 +174,14 @@
       }
     }
     sendReleases();
-    Placer.Queue queue = placer.queue();
-    rent(queue);
-    lend(queue);
+    if (now >= nextRentMicros) {
+      nextRentMicros = now + (long) (STEP_MICROS * slower) - STEP_MICROS / 2;
+      Placer.Queue queue = placer.queue();
+      rent(queue);
+      lend(queue);
+    }
     if (now >= nextPlanMicros) {
-      nextPlanMicros = now + PLAN_MICROS;
+      nextPlanMicros = now + (long) (PLAN_MICROS * slower);
       plan();
     }
     if (!listing && now >= nextListMicros && membership.entitled()) {
@@ -214,14 +208,11 @@
             return;
           }
           nextTypesMicros = nowMicros + TYPES_MICROS;
-          boolean first = types.isEmpty();
-          types.clear();
-          for (Map<String, Object> m : Json.objects(reply.object(), "hosttypes")) {
-            MachineType type = MachineType.read(m);
-            types.put(type.name(), type);
-          }
+          boolean first = !typesKnown();
+          offers.read(
+              Json.objects(reply.object(), "hosttypes").stream().map(MachineType::read).toList());
           if (first) {
-            LOG.info("machine types: {}", types.values());
+            LOG.info("machine types: {}", offers.types());
           }
           scheduler.touch();
         });
@@ -230,14 +221,19 @@
   /** Rents for our tasks that would start too late on the machines that are there or coming. */
   private void rent(Placer.Queue queue) {
     policy.load(workers.all().size(), queue.waiting().stream().mapToInt(Placer.Need::count).sum());
-    if (queue.waiting().isEmpty()) {
+    int last = queue.waiting().size() - 1;
+    while (last >= 0 && !queue.waiting().get(last).ours()) {
+      last--;
+    }
+    if (last < 0 || !offers.anyOpen(nowMicros)) {
       return;
     }
     Forecast forecast = forecast();
-    Map<Offer, Integer> wanted = new LinkedHashMap<>();
+    Map<Offers.Offer, Integer> wanted = new LinkedHashMap<>();
     int shard = -1;
     int looked = 0;
-    for (Placer.Need need : queue.waiting()) {
+    // What comes after our last need takes nothing from it.
+    for (Placer.Need need : queue.waiting().subList(0, last + 1)) {
       JobSpec spec = need.job().spec();
       // What may be stopped for a task is no hindrance to it: lower ranks are put in after.
       forecast.admit(spec.rank());
@@ -251,20 +247,19 @@
         long by = nowMicros + policy.micros(Policy.Name.PATIENCE);
         inZone.put(forecast.roomiest(spec, only, by, zonesOffered()), 0);
       }
+      Forecast.Search search = forecast.search(spec, only);
       for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
         looked++;
-        Forecast.Slot slot =
-            need.starved() ? forecast.fresh(spec, inZone) : forecast.best(spec, inZone, only);
+        Forecast.Slot slot = need.starved() ? forecast.fresh(spec, inZone) : search.best(inZone);
         long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
         if (i < mine) {
           long latest = latestStart(need.job(), careful, at);
-          LOG.debug("forecast {}: starts at {}, wanted by {}", spec.id(), at, latest);
           if (at > latest) {
-            Offer offer = choose(spec, inZone, need.count() - i, wanted, latest, at);
+            Offers.Offer offer = choose(spec, inZone, need.count() - i, wanted, latest, at);
             if (offer != null) {
               shard = need.shard();
               wanted.merge(offer, 1, Integer::sum);
-              slot = slot(offer, shard, nowMicros + offer.type.readyMicros());
+              slot = slot(offer, shard, nowMicros + offer.type().readyMicros());
               forecast.add(slot);
             }
           }
@@ -277,7 +272,7 @@
         inZone.merge(slot.zone, 1, Integer::sum);
       }
     }
-    for (Map.Entry<Offer, Integer> e : wanted.entrySet()) {
+    for (Map.Entry<Offers.Offer, Integer> e : wanted.entrySet()) {
       hire(e.getKey(), e.getValue(), shard);
     }
   }
@@ -289,18 +284,18 @@
   private void plan() {
     Capacity capacity = new Capacity();
     for (Worker w : workers.all()) {
-      MachineType type = types.get(w.type());
+      MachineType type = type(w.type());
       if (type != null && w.entered() && !w.leaving() && w.recallAtMicros() == 0) {
         capacity.add(new Capacity.Box(w.host(), type, w.zone(), w.spot()));
       }
     }
     for (Rental r : rentals) {
       for (int i = 0; i < r.number; i++) {
-        capacity.add(new Capacity.Box("", r.offer.type, r.offer.zone, r.offer.spot));
+        capacity.add(new Capacity.Box("", r.offer.type(), r.offer.zone, r.offer.spot));
       }
     }
     capacity.sort();
-    Map<Offer, Integer> wanted = new LinkedHashMap<>();
+    Map<Offers.Offer, Integer> wanted = new LinkedHashMap<>();
     for (Job job : placer.services()) {
       Map<String, Integer> inZone = new HashMap<>();
       capacity.put(job.spec(), job.tasks(), inZone);
@@ -324,12 +319,13 @@
         if (!anywhere && capacity.put(spec, inZone)) {
           continue;
         }
-        Offer offer = choose(spec, inZone, tasks - i, wanted, Forecast.NEVER, Forecast.NEVER);
+        Offers.Offer offer =
+            choose(spec, inZone, tasks - i, wanted, Forecast.NEVER, Forecast.NEVER);
         if (offer == null) {
           break;
         }
         wanted.merge(offer, 1, Integer::sum);
-        Capacity.Box box = new Capacity.Box("", offer.type, offer.zone, offer.spot);
+        Capacity.Box box = new Capacity.Box("", offer.type(), offer.zone, offer.spot);
         capacity.add(box);
         int in = capacity.fill(box, spec, inZone, anywhere ? tasks - i : 1);
         if (in == 0) {
@@ -347,7 +343,7 @@
     // One shard's owner rents ahead at a time, in turns by the time of day.
     int shard = (int) (wallMicros / TURN_MICROS % membership.shards());
     if (membership.commitsFor(shard)) {
-      for (Map.Entry<Offer, Integer> e : wanted.entrySet()) {
+      for (Map.Entry<Offers.Offer, Integer> e : wanted.entrySet()) {
         hire(e.getKey(), e.getValue(), shard);
       }
     }
@@ -371,7 +367,7 @@
     // What a machine rented on demand can still be in time for needs less room ahead.
     long slack = spec.dueMicros() - placer.estimates().runMicros(spec) - TOLD_MICROS;
     return load.tasks()
-        / (slack > 2 * soonest(spec)
+        / (slack > 2 * offers.soonest(spec)
             ? policy.number(Policy.Name.FILL_WITH_SLACK)
             : policy.number(Policy.Name.FILL));
   }
@@ -408,9 +404,7 @@
                 && placer.usable(w)
                 && w.attempts().isEmpty()
                 && w.report().tasks().isEmpty();
-        if (!free
-            || !spec.allows(w.type(), w.zone(), w.spot())
-            || types.get(w.type()).fits(spec) == 0) {
+        if (!free || !spec.allows(w.type(), w.zone(), w.spot()) || type(w.type()).fits(spec) == 0) {
           continue;
         }
         LOG.info(
@@ -427,15 +421,15 @@
     }
   }
 
-  private static Forecast.Slot slot(Offer offer, int shard, long from) {
-    return new Forecast.Slot(offer.type, offer.zone, offer.spot, shard, from, List.of());
+  private static Forecast.Slot slot(Offers.Offer offer, int shard, long from) {
+    return new Forecast.Slot(offer.type(), offer.zone, offer.spot, shard, from, List.of());
   }
 
   /** The machines of all shards, as far as the followed copy and the reports tell. */
   private Forecast forecast() {
     Forecast forecast = new Forecast();
     for (Worker w : workers.all()) {
-      MachineType type = types.get(w.type());
+      MachineType type = type(w.type());
       if (type == null || !w.entered() || w.leaving() || w.recallAtMicros() != 0) {
         continue;
       }
@@ -466,7 +460,7 @@
     }
     for (Rental r : rentals) {
       for (int i = 0; i < r.number; i++) {
-        forecast.add(slot(r.offer, r.shard, nowMicros + r.offer.type.readyMicros()));
+        forecast.add(slot(r.offer, r.shard, nowMicros + r.offer.type().readyMicros()));
       }
     }
     return forecast;
@@ -480,7 +474,7 @@
     JobSpec spec = job.spec();
     long age = Math.max(0, wallMicros - job.submittedMicros());
     if (spec.dueMicros() > 0) {
-      long soonest = soonest(spec);
+      long soonest = offers.soonest(spec);
       for (Settings.Objective o : settings.objectives()) {
         if (o.kind().equals("deadline") && spec.jobClass().equals(o.jobClass())) {
           long left = (long) (spec.dueMicros() * o.times()) - age - run - TOLD_MICROS;
@@ -503,82 +497,20 @@
     return nowMicros + policy.micros(Policy.Name.PATIENCE);
   }
 
-  /** How soon a machine rented now could run a task. */
-  private long soonest(JobSpec spec) {
-    long soonest = Forecast.NEVER;
-    for (MachineType type : types.values()) {
-      if (type.fits(spec) > 0 && (spec.types() == null || spec.types().contains(type.name()))) {
-        long fetch = (long) (spec.imageGb() / type.fetchGbPerS() * 1e6);
-        soonest = Math.min(soonest, type.readyMicros() + fetch);
-      }
-    }
-    return soonest;
-  }
-
-  /** The cheapest offer that is up in time, or the soonest if none is; null if none helps. */
-  private Offer choose(
+  private Offers.Offer choose(
       JobSpec spec,
       Map<String, Integer> inZone,
       int count,
-      Map<Offer, Integer> wanted,
+      Map<Offers.Offer, Integer> asked,
       long latest,
       long otherwise) {
-    Offer best = null;
-    double bestScore = 0;
-    double dear = dear(spec);
-    for (MachineType type : types.values()) {
-      int fits = type.fits(spec);
-      boolean wasteful = spec.gpus() == 0 && type.gpus() > 0;
-      if (fits == 0 || (wasteful && spec.shape() == JobSpec.Shape.SERVICE)) {
-        continue;
-      }
-      long up = nowMicros + type.readyMicros() + (long) (spec.imageGb() / type.fetchGbPerS() * 1e6);
-      if (up >= otherwise) {
-        continue;
-      }
-      for (String zone : type.zones()) {
-        for (boolean spot : new boolean[] {true, false}) {
-          Offer offer = new Offer(type, zone, spot);
-          Backoff off = backoffs.get(offer.name());
-          if (!spec.allows(type.name(), zone, spot)
-              || !spec.zoneOpen(zone, inZone)
-              || (off != null && nowMicros < off.untilMicros)
-              || wanted.getOrDefault(offer, 0) >= MOST_AT_ONCE
-              || (wasteful && type.price(spot) / fits > dear)) {
-            continue;
-          }
-          double score = type.price(spot) / Math.min(fits, count);
-          score *= 1 + type.readyMicros() / 60e6;
-          if (up > latest) {
-            score += LATE * (up - latest) / 1e6;
-          }
-          // Both zones get machines where tasks are to be spread.
-          if (spec.scatter()) {
-            score *= 1 + 0.05 * inZones.getOrDefault(zone, 0);
-          }
-          if (best == null || score < bestScore) {
-            best = offer;
-            bestScore = score;
-          }
-        }
-      }
-    }
-    return best;
-  }
-
-  /**
-   * What a task may cost an hour on a machine with GPUs that it doesn't use: a few times what it
-   * costs on others. They are for when those are all taken.
-   */
-  private double dear(JobSpec spec) {
-    double cheapest = Double.MAX_VALUE;
-    for (MachineType type : types.values()) {
-      boolean allowed = spec.types() == null || spec.types().contains(type.name());
-      if (allowed && type.gpus() == 0 && type.fits(spec) > 0) {
-        cheapest = Math.min(cheapest, type.price(false) / type.fits(spec));
-      }
-    }
-    return cheapest == Double.MAX_VALUE ? cheapest : cheapest * policy.number(Policy.Name.DEAR);
+    return offers.choose(
+        new Offers.Wish(spec, inZone, count, latest, otherwise),
+        asked,
+        MOST_AT_ONCE,
+        inZones,
+        policy.number(Policy.Name.DEAR),
+        nowMicros);
   }
 
   private void countZones() {
@@ -586,7 +518,7 @@
     workers.all().forEach(w -> inZones.merge(w.zone(), 1, Integer::sum));
   }
 
-  private void hire(Offer offer, int number, int shard) {
+  private void hire(Offers.Offer offer, int number, int shard) {
     // Names never repeat: a lease's number belongs to one life of one controller.
     String name = settings.node() + "-" + membership.incarnation() + "-" + (++rentalCount);
     Rental rental = new Rental(name, offer, Math.min(number, MOST_AT_ONCE), shard);
@@ -600,14 +532,14 @@
       return;
     }
     r.tries++;
-    LOG.info("rent {} {} for shard {}: {}", r.number, r.offer.name(), r.shard, r.name);
+    LOG.info("rent {} {} for shard {}: {}", r.number, r.offer, r.shard, r.name);
     outbox.call(
         settings.cloud(),
         "POST",
         "/rentals",
         Json.of(
             "hire", r.name,
-            "hosttype", r.offer.type.name(),
+            "hosttype", r.offer.type().name(),
             "glade", r.offer.zone,
             "loaners", r.offer.spot,
             "number", r.number),
@@ -626,7 +558,7 @@
           "/rentals",
           Json.of(
               "hire", r.name,
-              "hosttype", r.offer.type.name(),
+              "hosttype", r.offer.type().name(),
               "glade", r.offer.zone,
               "loaners", r.offer.spot,
               "number", r.number),
@@ -637,22 +569,21 @@
     rentals.remove(r);
     List<String> hosts = Json.texts(reply.object(), "hosts");
     if (reply.status() != 200 || hosts.size() < r.number) {
-      Backoff off = backoffs.computeIfAbsent(r.offer.name(), n -> new Backoff());
       boolean none = reply.status() == 503 && !"trouble".equals(Json.text(reply.object(), "error"));
-      off.times = none ? Math.min(off.times + 1, 4) : 1;
-      off.untilMicros = nowMicros + (none ? 5_000_000L << Math.min(off.times, 2) : 3_000_000);
+      offers.refused(r.offer, !none, nowMicros);
       LOG.info("rent {}: {} with {} of {}", r.name, reply.status(), hosts.size(), r.number);
       // The next best offer is tried at once.
       nextStepMicros = 0;
+      nextRentMicros = 0;
       nextPlanMicros = Math.min(nextPlanMicros, nowMicros + STEP_MICROS / 2);
     } else {
-      backoffs.remove(r.offer.name());
+      offers.filled(r.offer);
     }
     long[] cpus = shardCpus();
     for (String host : hosts) {
-      int shard = r.offer.type.gpus() > 0 ? r.shard : least(cpus);
-      cpus[shard] += r.offer.type.cpus();
-      enter(host, r.shard, shard, r.offer.type.name(), r.offer.zone, r.offer.spot);
+      int shard = r.offer.type().gpus() > 0 ? r.shard : least(cpus);
+      cpus[shard] += r.offer.type().cpus();
+      enter(host, r.shard, shard, r.offer.type().name(), r.offer.zone, r.offer.spot);
     }
   }
 
@@ -660,7 +591,7 @@
   private long[] shardCpus() {
     long[] cpus = new long[membership.shards()];
     for (Worker w : workers.all()) {
-      MachineType type = types.get(w.type());
+      MachineType type = type(w.type());
       if (w.entered() && !w.leaving() && type != null && type.gpus() == 0) {
         cpus[w.shard()] += type.cpus();
       }
@@ -718,7 +649,7 @@
       if (w.releasing) {
         continue;
       }
-      MachineType type = types.get(w.type());
+      MachineType type = type(w.type());
       long ready = type == null ? 60_000_000 : type.readyMicros();
       boolean busy = !w.attempts().isEmpty();
       String why = null;
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -217,42 +217,60 @@
     return looks;
   }
 
-  /** Where a task would run first; null if nowhere. */
-  Slot best(JobSpec spec, Map<String, Integer> inZone) {
-    return best(spec, inZone, -1);
+  /** Looks for places for the tasks of one job; on one shard's machines alone, or on all (-1). */
+  Search search(JobSpec spec, int shard) {
+    return new Search(spec, shard);
   }
 
-  /** The same on one shard's machines alone, as a gang needs them; -1: on all. */
-  Slot best(JobSpec spec, Map<String, Integer> inZone, int shard) {
-    Line.Place best = null;
-    for (String zone : zones) {
-      if (!spec.zoneOpen(zone, inZone) || (spec.zone() != null && !spec.zone().equals(zone))) {
-        continue;
+  /** One job's search: what is alike for all its tasks is worked out once. */
+  final class Search {
+    private final JobSpec spec;
+    private final int shard;
+    private final List<Line> open = new ArrayList<>();
+    private int zonesSeen;
+
+    private Search(JobSpec spec, int shard) {
+      this.spec = spec;
+      this.shard = shard;
+    }
+
+    private void findLines() {
+      zonesSeen = zones.size();
+      open.clear();
+      for (String zone : zones) {
+        if (spec.zone() == null || spec.zone().equals(zone)) {
+          Kind kind =
+              new Kind(
+                  spec.cpus(),
+                  spec.gpus(),
+                  spec.memory(),
+                  spec.image(),
+                  spec.types(),
+                  spec.spot(),
+                  zone,
+                  shard);
+          open.add(lines.computeIfAbsent(kind, k -> new Line(spec, k)));
+        }
       }
-      Kind kind =
-          new Kind(
-              spec.cpus(),
-              spec.gpus(),
-              spec.memory(),
-              spec.image(),
-              spec.types(),
-              spec.spot(),
-              zone,
-              shard);
-      Line line = lines.get(kind);
-      if (line == null) {
-        line = new Line(spec, kind);
-        lines.put(kind, line);
+    }
+
+    /** Where the job's next task would run first; null if nowhere. */
+    Slot best(Map<String, Integer> inZone) {
+      if (zonesSeen != zones.size()) {
+        findLines();
       }
-      Line.Place first = line.best();
-      if (first != null
-          && (best == null
-              || first.at() < best.at()
-              || (first.at() == best.at() && first.order() < best.order()))) {
-        best = first;
+      Line.Place best = null;
+      for (Line line : open) {
+        Line.Place first = spec.zoneOpen(line.kind.zone(), inZone) ? line.best() : null;
+        if (first != null
+            && (best == null
+                || first.at() < best.at()
+                || (first.at() == best.at() && first.order() < best.order()))) {
+          best = first;
+        }
       }
+      return best == null ? null : best.slot();
     }
-    return best == null ? null : best.slot();
   }
 
   /** The zone in which a shard has most room for a job's tasks by a time. */
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -28,6 +28,14 @@
   private static final Logger LOG = LoggerFactory.getLogger(Placer.class);
   private static final long PASS_MICROS = 60_000;
 
+  /**
+   * For so many machines a shard passes may follow one another that closely, for more as much less:
+   * a pass looks at all of them. What it decides waits for a commit, which takes longer.
+   */
+  private static final double USUAL_SHARE = 50;
+
+  private static final double MOST_SLOWED = 4;
+
   /** Workers become usable with time as well: a pass comes now and then in any case. */
   private static final long AGAIN_MICROS = 400_000;
 
@@ -256,7 +264,8 @@
 
   private void passNow() {
     passes++;
-    nextMicros = nowMicros + PASS_MICROS;
+    double slower = workers.all().size() / (USUAL_SHARE * membership.shards());
+    nextMicros = nowMicros + (long) (PASS_MICROS * Math.max(1, Math.min(MOST_SLOWED, slower)));
     againMicros = nowMicros + AGAIN_MICROS;
     for (int shard = 0; shard < membership.shards(); shard++) {
       if (membership.commitsFor(shard)) {
--- a/src/test/java/gladeknot/fleet/CapacityTest.java
+++ b/src/test/java/gladeknot/fleet/CapacityTest.java
@@ -63,7 +63,7 @@
       capacity.put(web, 4, inZone);
       Map<String, Integer> inForecast = new HashMap<>();
       for (int t = 0; t < 4; t++) {
-        Forecast.Slot slot = forecast.best(web, inForecast);
+        Forecast.Slot slot = forecast.search(web, -1).best(inForecast);
         forecast.put(slot, web, Forecast.NEVER);
         inForecast.merge(slot.zone, 1, Integer::sum);
       }
--- a/src/test/java/gladeknot/fleet/ForecastTest.java
+++ b/src/test/java/gladeknot/fleet/ForecastTest.java
@@ -27,7 +27,7 @@
     forecast.admit(JobSpec.Rank.NORMAL);
     long[] expected = {0, 5_000_000, 6_000_000, 11_000_000};
     for (long at : expected) {
-      assertEquals(at, forecast.put(forecast.best(spec, Map.of()), spec, 6_000_000));
+      assertEquals(at, forecast.put(forecast.search(spec, -1).best(Map.of()), spec, 6_000_000));
     }
   }
 
@@ -49,6 +49,6 @@
     Forecast forecast = new Forecast();
     forecast.add(new Forecast.Slot(TYPE, "a", false, 0, 0, List.of()));
     // Four replicas: two to a zone at most.
-    assertNull(forecast.best(spec("service"), Map.of("a", 2)));
+    assertNull(forecast.search(spec("service"), -1).best(Map.of("a", 2)));
   }
 }
--- a/src/test/java/gladeknot/standin/World.java
+++ b/src/test/java/gladeknot/standin/World.java
@@ -92,6 +92,9 @@
 
   public long applyLate;
 
+  /** How long tasks run that end by themselves. */
+  public long taskMicros = 6 * SECOND;
+
   public World(int count, long seed) {
     this(count, seed, SMALL);
   }
@@ -197,7 +200,7 @@
             .filter(c -> c.id.equals(m.worker.host()))
             .findFirst()
             .orElseThrow();
-    m.worker = new WorkerStandIn(of, of.id + ":9", LEASE, World::runMicros, now);
+    m.worker = new WorkerStandIn(of, of.id + ":9", LEASE, this::runMicros, now);
   }
 
   public int machineCount() {
@@ -378,7 +381,7 @@
     for (CloudStandIn.Machine m : cloud.machines()) {
       if (m.upMicros <= now && !machines.containsKey(m.id)) {
         Machine machine = new Machine();
-        machine.worker = new WorkerStandIn(m, m.id + ":9", LEASE, World::runMicros, now);
+        machine.worker = new WorkerStandIn(m, m.id + ":9", LEASE, this::runMicros, now);
         machine.node = random.nextInt(nodes.size());
         machines.put(m.id, machine);
       }
@@ -647,10 +650,10 @@
     }
   }
 
-  /** Replicas run until they are stopped, anything else for six seconds. */
-  private static long runMicros(String task) {
+  /** Replicas run until they are stopped, anything else for as long as this world says. */
+  private long runMicros(String task) {
     boolean service = task.startsWith("req-web") || task.startsWith("req-gone");
-    return service ? Long.MAX_VALUE / 4 : 6 * SECOND;
+    return service ? Long.MAX_VALUE / 4 : taskMicros;
   }
 
   /** A job of one-CPU tasks. */
