--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -107,6 +107,7 @@
   private long nextTypesMicros;
   private long nextStepMicros;
   private long nextListMicros;
+  private double slower = 1;
   private long nextRentMicros;
   private long nextPlanMicros;
   private boolean listing;
@@ -166,7 +167,7 @@
       return;
     }
     nextStepMicros = now + STEP_MICROS;
-    double slower = Math.max(1, Math.min(MOST_SLOWED, workers.all().size() / USUAL_FLEET));
+    slower = Math.max(1, Math.min(MOST_SLOWED, workers.all().size() / USUAL_FLEET));
     countZones();
     for (int shard : List.copyOf(membership.owned())) {
       if (membership.commitsFor(shard)) {
@@ -250,7 +251,7 @@
       Forecast.Search search = forecast.search(spec, only);
       for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
         looked++;
-        Forecast.Slot slot = need.starved() ? forecast.fresh(spec, inZone) : search.best(inZone);
+        Forecast.Slot slot = need.starved() ? search.fresh(inZone) : search.best(inZone);
         long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
         if (i < mine) {
           long latest = latestStart(need.job(), careful, at);
@@ -574,8 +575,8 @@
       LOG.info("rent {}: {} with {} of {}", r.name, reply.status(), hosts.size(), r.number);
       // The next best offer is tried at once.
       nextStepMicros = 0;
-      nextRentMicros = 0;
-      nextPlanMicros = Math.min(nextPlanMicros, nowMicros + STEP_MICROS / 2);
+      nextRentMicros = Math.min(nextRentMicros, nowMicros + (long) (STEP_MICROS * (slower - 1)));
+      nextPlanMicros = Math.min(nextPlanMicros, nowMicros + (long) (STEP_MICROS * slower / 2));
     } else {
       offers.filled(r.offer);
     }
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -111,6 +111,9 @@
   private final Set<String> zones = new LinkedHashSet<>();
   private final List<Running> running = new ArrayList<>();
 
+  /** The lowest rank admitted so far: asked for each waiting job, and there are many of a rank. */
+  private int admitted = -1;
+
   /** Notes a task that runs; it counts once its rank has been admitted. */
   void running(
       JobSpec.Rank rank, Slot slot, long from, long to, long cpus, long gpus, long memory) {
@@ -119,6 +122,10 @@
 
   /** From here on, running tasks of a rank and of those above it take their room. */
   void admit(JobSpec.Rank rank) {
+    if (rank.ordinal() <= admitted) {
+      return;
+    }
+    admitted = rank.ordinal();
     running.removeIf(
         r -> {
           if (r.rank().ordinal() > rank.ordinal()) {
@@ -135,16 +142,6 @@
     lines.values().forEach(line -> line.add(slot, slots.size() - 1));
   }
 
-  /** A machine that has room already, or will when it is up; null if none has. */
-  Slot fresh(JobSpec spec, Map<String, Integer> inZone) {
-    for (Slot slot : slots) {
-      if (spec.zoneOpen(slot.zone, inZone) && slot.earliest(spec) <= slot.fromMicros) {
-        return slot;
-      }
-    }
-    return null;
-  }
-
   /**
    * What decides on which machines tasks may go and when: many jobs share it. A line is for one
    * zone and, for gangs, for one shard's machines (-1: for all).
@@ -169,6 +166,10 @@
 
     private final JobSpec spec;
     private final Kind kind;
+
+    /** Up to here no machine has room for a task at once: none gets any while tasks are put in. */
+    private int full;
+
     private final PriorityQueue<Place> places =
         new PriorityQueue<>(Comparator.comparingLong(Place::at).thenComparingInt(Place::order));
 
@@ -181,7 +182,7 @@
     }
 
     private void add(Slot slot, int order) {
-      if (slot.zone.equals(kind.zone()) && (kind.shard() < 0 || slot.shard == kind.shard())) {
+      if (has(slot)) {
         put(slot, order);
       }
     }
@@ -194,6 +195,25 @@
       }
     }
 
+    private boolean has(Slot slot) {
+      return slot.zone.equals(kind.zone()) && (kind.shard() < 0 || slot.shard == kind.shard());
+    }
+
+    /** The first machine with room at once, or once it is up; the number of all if none has. */
+    private int fresh() {
+      while (full < slots.size()) {
+        Slot slot = slots.get(full);
+        if (has(slot)) {
+          looks++;
+          if (slot.earliest(spec) <= slot.fromMicros) {
+            break;
+          }
+        }
+        full++;
+      }
+      return full;
+    }
+
     private Place best() {
       while (!places.isEmpty()) {
         Place first = places.peek();
@@ -254,6 +274,20 @@
       }
     }
 
+    /** A machine that has room already, or will when it is up; null if none has. */
+    Slot fresh(Map<String, Integer> inZone) {
+      if (zonesSeen != zones.size()) {
+        findLines();
+      }
+      int first = slots.size();
+      for (Line line : open) {
+        if (spec.zoneOpen(line.kind.zone(), inZone)) {
+          first = Math.min(first, line.fresh());
+        }
+      }
+      return first == slots.size() ? null : slots.get(first);
+    }
+
     /** Where the job's next task would run first; null if nowhere. */
     Slot best(Map<String, Integer> inZone) {
       if (zonesSeen != zones.size()) {
