--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -75,9 +75,60 @@
   /** All that waits for room, in the order in which it would get it. */
   public record Queue(List<Need> waiting) {}
 
-  /** A slice with tasks to start; {@code key} orders those of one rank. */
+  /**
+   * A slice with tasks to start; {@code key} orders those of one rank. What stands before the key
+   * in the order is worked out once, as one number: each pass sorts all that waits.
+   */
   private record Waiting(
-      Slice slice, Job job, boolean foreign, boolean starved, boolean guaranteed, long key) {}
+      Slice slice,
+      Job job,
+      boolean foreign,
+      boolean starved,
+      boolean guaranteed,
+      long key,
+      int order) {
+    private static final int RANK = 128;
+    private static final int NOT_STARVED = 64;
+    private static final int NOT_GUARANTEED = 32;
+
+    /** Between two tiers of deadlines, for whose it is. */
+    private static final int TIER = 2;
+
+    private Waiting(
+        Slice slice, Job job, boolean foreign, boolean starved, boolean guaranteed, long key) {
+      this(
+          slice,
+          job,
+          foreign,
+          starved,
+          guaranteed,
+          key,
+          job.spec().rank().ordinal() * RANK
+              + (starved ? 0 : NOT_STARVED)
+              + (guaranteed ? 0 : NOT_GUARANTEED)
+              + Urgency.tier(key) * TIER
+              + (foreign ? 1 : 0));
+    }
+
+    private static int inOrder(Waiting a, Waiting b) {
+      return a.order != b.order ? Integer.compare(a.order, b.order) : byKey(a, b);
+    }
+
+    private static int byKey(Waiting a, Waiting b) {
+      if (a.key != b.key) {
+        return Long.compare(a.key, b.key);
+      }
+      long first = a.job.submittedMicros();
+      long second = b.job.submittedMicros();
+      return first != second ? Long.compare(first, second) : a.job.id().compareTo(b.job.id());
+    }
+
+    private static int inQueue(Waiting a, Waiting b) {
+      int first = a.order & -NOT_GUARANTEED;
+      int second = b.order & -NOT_GUARANTEED;
+      return first != second ? Integer.compare(first, second) : byKey(a, b);
+    }
+  }
 
   private final Settings settings;
   private final Policy policy;
@@ -95,7 +146,7 @@
   private final Map<String, Budgets.Amount> left = new HashMap<>();
 
   /** What decides whether a machine takes a task, for jobs that may be in any zones. */
-  private record Kind(
+  record Kind(
       long cpus,
       long gpus,
       long memory,
@@ -117,6 +168,7 @@
   private long againMicros;
   private long nextPlacesMicros;
   private long deadlineCpus;
+  private long starveMicros;
   private long nowMicros;
   private long wallMicros;
 
@@ -156,6 +208,7 @@
 
   /** What waits in all shards. */
   public Queue queue() {
+    starveMicros = policy.micros(Policy.Name.STARVE_AFTER);
     List<Waiting> all = new ArrayList<>();
     for (int shard = 0; shard < membership.shards(); shard++) {
       boolean ours = membership.commitsFor(shard);
@@ -321,24 +374,10 @@
    * then what is due first, then what came first. The own shard's work that is late already must
    * not go before what can be in time elsewhere.
    */
-  private static final Comparator<Waiting> ORDER =
-      Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
-          .thenComparing(w -> !w.starved())
-          .thenComparing(w -> !w.guaranteed())
-          .thenComparingInt(w -> Urgency.tier(w.key()))
-          .thenComparing(Waiting::foreign)
-          .thenComparingLong(Waiting::key)
-          .thenComparingLong(w -> w.job().submittedMicros())
-          .thenComparing(w -> w.job().id());
+  private static final Comparator<Waiting> ORDER = Waiting::inOrder;
 
   /** The same without regard to whose it is. */
-  private static final Comparator<Waiting> QUEUE_ORDER =
-      Comparator.<Waiting>comparingInt(w -> w.job().spec().rank().ordinal())
-          .thenComparing(w -> !w.starved())
-          .thenComparing(w -> !w.guaranteed())
-          .thenComparingLong(Waiting::key)
-          .thenComparingLong(w -> w.job().submittedMicros())
-          .thenComparing(w -> w.job().id());
+  private static final Comparator<Waiting> QUEUE_ORDER = Waiting::inQueue;
 
   /** A running task's rank; what belongs to a job that is over is as good as gone. */
   public JobSpec.Rank rank(Attempt a) {
@@ -351,8 +390,7 @@
     // one
     // task is enough for that: all of it would make the rest late as well.
     boolean starved =
-        wallMicros - job.submittedMicros() > policy.micros(Policy.Name.STARVE_AFTER)
-            && (job.spec().whole() || !begun(job));
+        wallMicros - job.submittedMicros() > starveMicros && (job.spec().whole() || !begun(job));
     // A guarantee is for work that has just come: what has waited for longer than that is meant to
     // has missed it, and would now only keep others from their deadlines.
     boolean guaranteed =
@@ -402,6 +440,8 @@
   /** The slices of one shard that wait; those of others only once they have waited a while. */
   private void waiting(int from, int shard, List<Waiting> into) {
     boolean foreign = from != shard;
+    starveMicros = policy.micros(Policy.Name.STARVE_AFTER);
+    long claimMicros = policy.micros(Policy.Name.CLAIM_AFTER);
     for (Slice s : slices.of(from)) {
       Job job = jobs.active(s.job());
       if (job == null || s.todoCount() == 0) {
@@ -411,7 +451,7 @@
       if (s.waitingSinceMicros == 0) {
         s.waitingSinceMicros = nowMicros;
       }
-      if (!foreign || nowMicros - s.waitingSinceMicros >= policy.micros(Policy.Name.CLAIM_AFTER)) {
+      if (!foreign || nowMicros - s.waitingSinceMicros >= claimMicros) {
         into.add(waiting(s, job, foreign));
       }
     }
@@ -476,7 +516,7 @@
     }
     int placed = 0;
     int next = s.nextTodo(0);
-    Kind kind = kind(spec);
+    Kind kind = kind(w.slice(), spec);
     while (placed < count && next >= 0 && !full.contains(kind)) {
       Room room = best(s, spec, rooms, null);
       if (room == null) {
@@ -573,17 +613,22 @@
   }
 
   /** Null for jobs whose tasks' zones depend on one another. */
-  private static Kind kind(JobSpec spec) {
-    return spec.scatter() || spec.together()
-        ? null
-        : new Kind(
-            spec.cpus(),
-            spec.gpus(),
-            spec.memory(),
-            spec.types(),
-            spec.zone(),
-            spec.spot(),
-            spec.shape() == JobSpec.Shape.SERVICE);
+  private static Kind kind(Slice s, JobSpec spec) {
+    if (spec.scatter() || spec.together()) {
+      return null;
+    }
+    if (s.kind == null) {
+      s.kind =
+          new Kind(
+              spec.cpus(),
+              spec.gpus(),
+              spec.memory(),
+              spec.types(),
+              spec.zone(),
+              spec.spot(),
+              spec.shape() == JobSpec.Shape.SERVICE);
+    }
+    return s.kind;
   }
 
   private Room best(Slice s, JobSpec spec, List<Room> rooms, String zone) {
@@ -655,7 +700,7 @@
       return 0;
     }
     int todo = from.todoCount();
-    if (!gang && full.contains(kind(spec))) {
+    if (!gang && full.contains(kind(from, spec))) {
       return Math.min(todo, allowedByBudget(spec, shard));
     }
     if (recorder.busy(from)) {
@@ -739,7 +784,7 @@
     preemption.patience(w.guaranteed() && waited >= policy.micros(Policy.Name.STOP_EQUAL_AFTER));
     mayStop = mayStop && preemption.anyVictim(spec, workers.of(shard), nowMicros);
     int rest = count;
-    Kind kind = kind(spec);
+    Kind kind = kind(w.slice(), spec);
     if (!gang && !mayStop && hopeless.contains(kind)) {
       return;
     }
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -58,6 +58,9 @@
   /** Grows with each change, so that a commit knows whether it caught the last one. */
   long version;
 
+  /** What decides which machines take a task of it; null until it is asked for. */
+  Placer.Kind kind;
+
   private int live = -1;
 
   private int todo = -1;
