Machines that come back late after a restart are not given back; starts go where a report is due

Now a lease and four reports are waited for. A case of WorldTest fails without it. Also: a start prefers a machine whose report is due or held, and quiet machines' answers wait for a start for half a report's time.

--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -99,6 +99,7 @@
     jobsDesk = new JobsDesk(settings, ledger, jobs, outbox, new DeskView());
     workerDesk =
         new WorkerDesk(
+            settings,
             ledger,
             membership,
             workers,
@@ -125,6 +126,11 @@
                 scheduler.restarted(worker, now);
               }
 
+              @Override
+              public boolean quiet(Worker worker) {
+                return scheduler.quiet(worker);
+              }
+
               @Override
               public void adopt(Report report) {
                 fleet.adopt(report);
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -659,8 +659,14 @@
       } else if (w.report() == null) {
         long age = Math.max(0, wallMicros - w.rentedWallMicros());
         long here = nowMicros - membership.sinceMicros(shard);
-        if (age > 2 * ready + ready / 4 + 10_000_000 && here > 10_000_000) {
-          why = "never came up";
+        // After a restart a machine comes back only once others have ceased to answer it, a lease
+        // and some reports later: by a shorter time healthy ones were given back with their tasks.
+        long back =
+            busy
+                ? silent
+                : settings.workers().leaseMicros() + 4 * settings.workers().reportMicros();
+        if (age > 2 * ready + ready / 4 + 10_000_000 && here > Math.max(back, 10_000_000)) {
+          why = busy ? "silent" : "never came up";
         }
       } else if (nowMicros - w.reportMicros() > silent
           && (nowMicros - w.reportMicros() > ZONE_PATIENCE * silent || !zoneSilent(w))) {
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -52,6 +52,9 @@
   /** How many seconds of fetching an image a task would rather wait than keep such a machine. */
   private static final double UNNEEDED = 8;
 
+  /** What a second until a machine's next report weighs for work that is not in haste. */
+  private static final double PATIENT = 0.2;
+
   /** How long one shard after the other holds on to a budget that is too small for its gang. */
   private static final long TURN_MICROS = 10_000_000;
 
@@ -678,7 +681,11 @@
             : 0;
     // A machine that is not needed is to run empty and be given back.
     double unneeded = room.worker.unneeded ? UNNEEDED : 0;
-    return fetch + gpus + kind + spread + empty + lonely + unneeded;
+    // A run waits for the machine's next report: with many machines some report sooner than others.
+    long next = room.worker.nextAnswerMicros(settings.workers().reportMicros());
+    double answer = Math.max(0, next - nowMicros) / 1e6;
+    double haste = spec.rank().ordinal() <= JobSpec.Rank.HIGH.ordinal() ? 1 : PATIENT;
+    return fetch + gpus + kind + spread + empty + lonely + unneeded + haste * answer;
   }
 
   private void start(Slice s, int task, long number, Room room) {
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -174,6 +174,24 @@
     return order;
   }
 
+  /** Whether a machine has nothing on it but replicas at work. */
+  public boolean quiet(Worker worker) {
+    if (worker.recallAtMicros() != 0) {
+      return false;
+    }
+    for (Attempt a : worker.attempts().values()) {
+      Job job = jobs.active(a.slice().job());
+      if (job == null
+          || job.spec().shape() != Shape.SERVICE
+          || a.closed
+          || a.killed()
+          || a.seen != Attempt.Seen.RUNNING) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Takes a report in and says what the worker is to do. */
   public List<Map<String, Object>> orders(Worker worker, Report report) {
     int shard = worker.shard();
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -270,6 +270,14 @@
     return reportMicros;
   }
 
+  /**
+   * When a command can next reach it: runs go in answers alone, and a report that is held for a
+   * start has still to be answered.
+   */
+  public long nextAnswerMicros(long reportEveryMicros) {
+    return answeredMicros < reportMicros ? reportMicros : reportMicros + reportEveryMicros;
+  }
+
   public long answeredMicros() {
     return answeredMicros;
   }
@@ -289,6 +297,16 @@
     return false;
   }
 
+  /** Whether a start has been committed that no answer has carried yet, or an end is wanted. */
+  boolean startsToSend() {
+    for (Attempt a : attempts.values()) {
+      if (!a.closed() && a.committed() && (a.killed() || a.seen() == Attempt.Seen.NOT_YET)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   public Map<String, Attempt> attempts() {
     return attempts;
   }
--- a/src/main/java/gladeknot/workers/WorkerDesk.java
+++ b/src/main/java/gladeknot/workers/WorkerDesk.java
@@ -4,6 +4,7 @@
 import gladeknot.http.Outbox;
 import gladeknot.ledger.Ledger;
 import gladeknot.membership.Membership;
+import gladeknot.settings.Settings;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -30,6 +31,9 @@
     /** Takes in that a machine has lost what it had, but for what its state lists. */
     void restarted(Worker worker, Report now);
 
+    /** Whether nothing on a machine is about to end or to begin, as far as is known. */
+    boolean quiet(Worker worker);
+
     /** Makes an unexpected machine ours. */
     void adopt(Report report);
   }
@@ -37,13 +41,31 @@
   /** Far below what a worker waits for an answer, and above what a commit mostly takes. */
   private static final long HOLD_MICROS = 400_000;
 
+  /**
+   * A quiet machine's answer waits for a start for this part of the time between two reports: a run
+   * goes in answers alone, and with seconds between them work that is to start at once would wait
+   * for the next. What a worker waits for an answer is longer than this at any report's pace.
+   */
+  private static final double QUIET_SHARE = 0.5;
+
+  private static final long MOST_QUIET_MICROS = 2_000_000;
+
+  /** How often held answers are looked through, but for those that a commit sets free. */
+  private static final long RELEASE_MICROS = 20_000;
+
   /** A worker that comes again so soon has not got through to its controller. */
   private static final long BACK_MICROS = 12_000_000;
 
   /** Between two questions to a machine whose reports look old. */
   private static final long ASK_MICROS = 2_000_000;
 
-  private record Held(long request, Worker worker, Report report, long round, long untilMicros) {}
+  private record Held(
+      long request,
+      Worker worker,
+      Report report,
+      long round,
+      long untilMicros,
+      long quietUntilMicros) {}
 
   private final Ledger ledger;
   private final Membership membership;
@@ -53,10 +75,19 @@
   private final Map<String, Long> sentAway = new HashMap<>();
   private long nextSweepMicros;
   private final List<Held> held = new ArrayList<>();
+  private final long quietMicros;
+  private long nextReleaseMicros;
   private long nowMicros;
 
   public WorkerDesk(
-      Ledger ledger, Membership membership, WorkerBook workers, Outbox outbox, Sync sync) {
+      Settings settings,
+      Ledger ledger,
+      Membership membership,
+      WorkerBook workers,
+      Outbox outbox,
+      Sync sync) {
+    this.quietMicros =
+        Math.min(MOST_QUIET_MICROS, (long) (settings.workers().reportMicros() * QUIET_SHARE));
     this.ledger = ledger;
     this.membership = membership;
     this.workers = workers;
@@ -70,7 +101,10 @@
       nextSweepMicros = now + BACK_MICROS;
       sentAway.values().removeIf(at -> now - at > BACK_MICROS);
     }
-    release();
+    if (now >= nextReleaseMicros) {
+      nextReleaseMicros = now + RELEASE_MICROS;
+      release();
+    }
   }
 
   /** POST /hello. */
@@ -120,8 +154,10 @@
     }
     worker.report(report, nowMicros);
     List<Map<String, Object>> orders = sync.orders(worker, report);
-    Held h = new Held(request, worker, report, sync.place(), nowMicros + HOLD_MICROS);
-    if (pending(h)) {
+    long quietUntil = orders.isEmpty() && sync.quiet(worker) ? nowMicros + quietMicros : 0;
+    long until = Math.max(nowMicros, quietUntil) + HOLD_MICROS;
+    Held h = new Held(request, worker, report, sync.place(), until, quietUntil);
+    if (pending(h) || nowMicros < quietUntil) {
       // A start for this worker is being decided or committed: it goes with this answer, rather
       // than with that to its next report.
       held.add(h);
@@ -226,7 +262,9 @@
       return;
     }
     for (Held h : List.copyOf(held)) {
-      if (nowMicros < h.untilMicros() && pending(h)) {
+      boolean waits =
+          pending(h) || (nowMicros < h.quietUntilMicros() && !h.worker().startsToSend());
+      if (nowMicros < h.untilMicros() && waits) {
         continue;
       }
       held.remove(h);
--- a/src/test/java/gladeknot/app/WorldTest.java
+++ b/src/test/java/gladeknot/app/WorldTest.java
@@ -57,6 +57,24 @@
                 }
                 w.run(20 * SECOND);
               }),
+          new Case(
+              "all end at once, and machines at work report only long after the restart",
+              24,
+              w -> {
+                java.util.Set<String> before = w.hosts("req-web");
+                for (int i = 0; i < 3; i++) {
+                  w.kill(i);
+                  w.start(i);
+                  w.cutFromWorkers(i, true);
+                }
+                w.run(11_500_000);
+                for (int i = 0; i < 3; i++) {
+                  w.cutFromWorkers(i, false);
+                }
+                w.run(400_000);
+                // They are not taken for machines that never came up.
+                assertTrue(w.rented().containsAll(before), "given back: " + before);
+              }),
           new Case(
               "one after the other is restarted",
               6,
--- a/src/test/java/gladeknot/standin/World.java
+++ b/src/test/java/gladeknot/standin/World.java
@@ -600,6 +600,24 @@
     enteredBefore.addAll(entered);
   }
 
+  /** The machines that a job's tasks are on. */
+  public Set<String> hosts(String job) {
+    Set<String> hosts = new java.util.TreeSet<>();
+    for (Machine m : machines.values()) {
+      if (m.worker.live().stream().anyMatch(t -> t.name.startsWith(job + "/"))) {
+        hosts.add(m.worker.host());
+      }
+    }
+    return hosts;
+  }
+
+  /** The machines that are rented. */
+  public Set<String> rented() {
+    Set<String> hosts = new HashSet<>();
+    cloud.machines().forEach(m -> hosts.add(m.id));
+    return hosts;
+  }
+
   /** Where a job's tasks are now, by zone. */
   public Map<String, Integer> zones(String job) {
     Map<String, Integer> zones = new TreeMap<>();
