--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -249,10 +249,12 @@
         inZone.put(forecast.roomiest(spec, only, by, zonesOffered()), 0);
       }
       Forecast.Search search = forecast.search(spec, only);
-      for (int i = 0; i < need.count() && looked < MOST_FORECAST; i++) {
-        looked++;
+      boolean anywhere = only < 0 && !spec.scatter() && !spec.together();
+      int i = 0;
+      while (i < need.count() && looked < MOST_FORECAST) {
         Forecast.Slot slot = need.starved() ? search.fresh(inZone) : search.best(inZone);
-        long at = slot == null ? Forecast.NEVER : slot.earliest(spec) + slot.fetchMicros(spec);
+        long starts = slot == null ? Forecast.NEVER : slot.earliest(spec);
+        long at = slot == null ? Forecast.NEVER : starts + slot.fetchMicros(spec);
         if (i < mine) {
           long latest = latestStart(need.job(), careful, at);
           if (at > latest) {
@@ -261,6 +263,7 @@
               shard = need.shard();
               wanted.merge(offer, 1, Integer::sum);
               slot = slot(offer, shard, nowMicros + offer.type().readyMicros());
+              starts = slot.earliest(spec);
               forecast.add(slot);
             }
           }
@@ -268,9 +271,14 @@
         if (slot == null) {
           break;
         }
+        // Tasks of one job that start on one machine at one time are put there together.
+        int rest = Math.min(need.count() - i, MOST_FORECAST - looked);
+        int n = anywhere ? (int) Math.max(1, Math.min(rest, slot.roomBy(spec, starts))) : 1;
         // A gang's tasks run side by side: none of them waits for another's end.
-        forecast.put(slot, spec, only >= 0 ? Forecast.NEVER : run);
-        inZone.merge(slot.zone, 1, Integer::sum);
+        forecast.put(slot, spec, only >= 0 ? Forecast.NEVER : run, n);
+        inZone.merge(slot.zone, n, Integer::sum);
+        i += n;
+        looked += n;
       }
     }
     for (Map.Entry<Offers.Offer, Integer> e : wanted.entrySet()) {
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -81,7 +81,8 @@
       return NEVER;
     }
 
-    private long roomBy(JobSpec spec, long byMicros) {
+    /** How many of a job's tasks have room by a time, on what is free then. */
+    long roomBy(JobSpec spec, long byMicros) {
       if (!spec.allows(type.name(), zone, spot)) {
         return 0;
       }
@@ -328,10 +329,15 @@
 
   /** Puts a task on a machine and returns when it would be running. */
   long put(Slot slot, JobSpec spec, long runMicros) {
+    return put(slot, spec, runMicros, 1);
+  }
+
+  /** Puts tasks on a machine that start together; returns when they would be running. */
+  long put(Slot slot, JobSpec spec, long runMicros, int count) {
     long at = slot.earliest(spec);
     long running = at + slot.fetchMicros(spec);
     long end = runMicros >= NEVER ? NEVER : running + runMicros;
-    slot.take(at, end, spec.cpus(), spec.gpus(), spec.memory());
+    slot.take(at, end, spec.cpus() * count, spec.gpus() * count, spec.memory() * count);
     return running;
   }
 }
--- a/src/main/java/gladeknot/http/HttpCaller.java
+++ b/src/main/java/gladeknot/http/HttpCaller.java
@@ -23,6 +23,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -31,6 +32,12 @@
   private static final int MAX_BODY = 16 * 1024 * 1024;
   private static final int KEPT = 4;
 
+  /**
+   * Idle connections kept in all. Commands go to every machine some time: kept for each of them,
+   * they would use up the sockets that workers and users need.
+   */
+  static final int MOST_IDLE = 64;
+
   /** Takes a reply in. */
   public interface Handler {
     void reply(long id, Outbox.Reply reply);
@@ -42,6 +49,9 @@
   private final Handler handler;
   private final Map<String, ArrayDeque<Channel>> kept = new HashMap<>();
 
+  /** All idle connections with their addresses, the one idle for longest first. */
+  private final LinkedHashMap<Channel, String> idleSince = new LinkedHashMap<>();
+
   public HttpCaller(EventLoopGroup group, Handler handler) {
     this.group = group;
     this.handler = handler;
@@ -49,11 +59,7 @@
 
   /** Sends a call; a reply or its absence always comes, within the call's time. */
   public void call(Outbox.Call call) {
-    ArrayDeque<Channel> idle = kept.get(call.address());
-    Channel channel = idle == null ? null : idle.pollLast();
-    while (channel != null && !channel.isActive()) {
-      channel = idle.pollLast();
-    }
+    Channel channel = takeIdle(call.address());
     Exchange exchange = new Exchange(call);
     exchange.timer =
         group
@@ -99,6 +105,43 @@
             });
   }
 
+  private Channel takeIdle(String address) {
+    ArrayDeque<Channel> idle = kept.get(address);
+    Channel channel = null;
+    while (idle != null && (channel == null || !channel.isActive()) && !idle.isEmpty()) {
+      channel = idle.pollLast();
+      idleSince.remove(channel);
+    }
+    if (idle != null && idle.isEmpty()) {
+      kept.remove(address);
+    }
+    return channel != null && channel.isActive() ? channel : null;
+  }
+
+  private void keep(String address, Channel channel) {
+    ArrayDeque<Channel> idle = kept.computeIfAbsent(address, a -> new ArrayDeque<>());
+    idle.addLast(channel);
+    idleSince.put(channel, address);
+    if (idle.size() > KEPT) {
+      close(idle.peekFirst());
+    } else if (idleSince.size() > MOST_IDLE) {
+      close(idleSince.keySet().iterator().next());
+    }
+  }
+
+  /** Closes an idle connection, or notes that it was closed. */
+  private void close(Channel channel) {
+    String address = idleSince.remove(channel);
+    if (address != null) {
+      ArrayDeque<Channel> idle = kept.get(address);
+      idle.remove(channel);
+      if (idle.isEmpty()) {
+        kept.remove(address);
+      }
+    }
+    channel.close();
+  }
+
   private final class Exchange {
     private final Outbox.Call call;
     private java.util.concurrent.Future<?> timer;
@@ -156,12 +199,7 @@
           return;
         }
         if (HttpUtil.isKeepAlive(response)) {
-          ArrayDeque<Channel> idle =
-              kept.computeIfAbsent(e.call.address(), a -> new ArrayDeque<>());
-          idle.addLast(ctx.channel());
-          if (idle.size() > KEPT) {
-            idle.pollFirst().close();
-          }
+          keep(e.call.address(), ctx.channel());
         } else {
           ctx.close();
         }
@@ -173,6 +211,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+      HttpCaller.this.close(ctx.channel());
       if (exchange != null) {
         Exchange e = exchange;
         exchange = null;
--- a/src/main/java/gladeknot/http/HttpServer.java
+++ b/src/main/java/gladeknot/http/HttpServer.java
@@ -35,6 +35,9 @@
   private static final long IDLE_SECONDS = 75;
   private static final long HALF_OPEN_SECONDS = 10;
 
+  /** When other controllers end, all their workers and users come at once. */
+  private static final int BACKLOG = 1024;
+
   /** Takes a request in. */
   public interface Handler {
     void request(long id, String method, String path, byte[] body);
@@ -58,7 +61,7 @@
     return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, 256)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(
@@ -77,6 +80,11 @@
         .channel();
   }
 
+  /** How many connections are open. */
+  int connections() {
+    return channels.size();
+  }
+
   /** Sends an answer; one whose client has gone is dropped. */
   public void answer(Outbox.Answer answer) {
     Open o = open.remove(answer.request());
--- a/src/test/java/gladeknot/fleet/ForecastTest.java
+++ b/src/test/java/gladeknot/fleet/ForecastTest.java
@@ -31,6 +31,25 @@
     }
   }
 
+  @Test
+  void tasksThatStartTogetherAreAsGoodAsOneByOne() throws JobSpec.Malformed {
+    JobSpec spec = spec("array");
+    long[] ends = new long[2];
+    for (int way = 0; way < 2; way++) {
+      Forecast forecast = new Forecast();
+      Forecast.Slot slot = new Forecast.Slot(TYPE, "a", true, 0, 0, List.of("img"));
+      forecast.add(slot);
+      assertEquals(2, slot.roomBy(spec, 0));
+      for (int i = 0; i < 2; i += way == 0 ? 1 : 2) {
+        forecast.put(slot, spec, 6_000_000, way == 0 ? 1 : 2);
+      }
+      assertEquals(0, slot.roomBy(spec, 0));
+      ends[way] = slot.earliest(spec);
+    }
+    assertEquals(6_000_000, ends[0]);
+    assertEquals(ends[0], ends[1]);
+  }
+
   @Test
   void whatMayBeStoppedIsNoHindrance() throws JobSpec.Malformed {
     Forecast forecast = new Forecast();
