Forecast lines by type and by image: one line of all machines for each image took most of a look

Each image that a waiting job needs had its own line of all machines. A type's machines now share one, and those that have the image make a short second one.

--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -2,7 +2,6 @@
 
 import gladeknot.jobs.JobSpec;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -110,6 +109,7 @@
 
   private final List<Slot> slots = new ArrayList<>();
   private final Set<String> zones = new LinkedHashSet<>();
+  private final Set<String> types = new LinkedHashSet<>();
   private final List<Running> running = new ArrayList<>();
 
   /** The lowest rank admitted so far: asked for each waiting job, and there are many of a rank. */
@@ -140,27 +140,31 @@
   void add(Slot slot) {
     slots.add(slot);
     zones.add(slot.zone);
+    types.add(slot.type.name());
     lines.values().forEach(line -> line.add(slot, slots.size() - 1));
   }
 
   /**
    * What decides on which machines tasks may go and when: many jobs share it. A line is for one
-   * zone and, for gangs, for one shard's machines (-1: for all).
+   * zone and, for gangs, for one shard's machines (-1: for all); either for the machines of one
+   * type or for those that have an image.
    */
   private record Kind(
       long cpus,
       long gpus,
       long memory,
-      String image,
       List<String> types,
       boolean spot,
       String zone,
-      int shard) {}
+      int shard,
+      String type,
+      String image) {}
 
   /**
-   * The machines in the order in which they could run a task of a kind. What is put in only makes a
-   * machine later, so a machine's time is worked out again only when it comes to the front: a look
-   * at every machine for every waiting task took most of a large fleet's forecasts.
+   * The machines in the order in which they have room for a task of a kind. What is put in only
+   * makes a machine later, so a machine's time is worked out again only when it comes to the front:
+   * a look at every machine for every waiting task took most of a large fleet's forecasts, and so
+   * did a line of all machines for every image.
    */
   private final class Line {
     private record Place(long at, int order, Slot slot) {}
@@ -172,7 +176,8 @@
     private int full;
 
     private final PriorityQueue<Place> places =
-        new PriorityQueue<>(Comparator.comparingLong(Place::at).thenComparingInt(Place::order));
+        new PriorityQueue<>(
+            (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Integer.compare(a.order, b.order));
 
     private Line(JobSpec spec, Kind kind) {
       this.spec = spec;
@@ -182,6 +187,13 @@
       }
     }
 
+    private boolean has(Slot slot) {
+      return slot.zone.equals(kind.zone())
+          && (kind.shard() < 0 || slot.shard == kind.shard())
+          && (kind.type() == null || slot.type.name().equals(kind.type()))
+          && (kind.image() == null || slot.images.contains(kind.image()));
+    }
+
     private void add(Slot slot, int order) {
       if (has(slot)) {
         put(slot, order);
@@ -192,14 +204,10 @@
       looks++;
       long at = slot.earliest(spec);
       if (at < NEVER) {
-        places.add(new Place(at + slot.fetchMicros(spec), order, slot));
+        places.add(new Place(at, order, slot));
       }
     }
 
-    private boolean has(Slot slot) {
-      return slot.zone.equals(kind.zone()) && (kind.shard() < 0 || slot.shard == kind.shard());
-    }
-
     /** The first machine with room at once, or once it is up; the number of all if none has. */
     private int fresh() {
       while (full < slots.size()) {
@@ -219,8 +227,7 @@
       while (!places.isEmpty()) {
         Place first = places.peek();
         looks++;
-        long at = first.slot().earliest(spec);
-        if (at < NEVER && at + first.slot().fetchMicros(spec) <= first.at()) {
+        if (first.slot().earliest(spec) <= first.at()) {
           return first;
         }
         places.poll();
@@ -247,41 +254,54 @@
   final class Search {
     private final JobSpec spec;
     private final int shard;
-    private final List<Line> open = new ArrayList<>();
-    private int zonesSeen;
+    private final List<Line> byType = new ArrayList<>();
+    private final List<Line> byImage = new ArrayList<>();
+    private int seen = -1;
 
     private Search(JobSpec spec, int shard) {
       this.spec = spec;
       this.shard = shard;
     }
 
+    private Line line(String zone, String type, String image) {
+      Kind kind =
+          new Kind(
+              spec.cpus(),
+              spec.gpus(),
+              spec.memory(),
+              spec.types(),
+              spec.spot(),
+              zone,
+              shard,
+              type,
+              image);
+      return lines.computeIfAbsent(kind, k -> new Line(spec, k));
+    }
+
     private void findLines() {
-      zonesSeen = zones.size();
-      open.clear();
+      if (seen == zones.size() * types.size()) {
+        return;
+      }
+      seen = zones.size() * types.size();
+      byType.clear();
+      byImage.clear();
       for (String zone : zones) {
         if (spec.zone() == null || spec.zone().equals(zone)) {
-          Kind kind =
-              new Kind(
-                  spec.cpus(),
-                  spec.gpus(),
-                  spec.memory(),
-                  spec.image(),
-                  spec.types(),
-                  spec.spot(),
-                  zone,
-                  shard);
-          open.add(lines.computeIfAbsent(kind, k -> new Line(spec, k)));
+          for (String type : types) {
+            if (spec.types() == null || spec.types().contains(type)) {
+              byType.add(line(zone, type, null));
+            }
+          }
+          byImage.add(line(zone, null, spec.image()));
         }
       }
     }
 
     /** A machine that has room already, or will when it is up; null if none has. */
     Slot fresh(Map<String, Integer> inZone) {
-      if (zonesSeen != zones.size()) {
-        findLines();
-      }
+      findLines();
       int first = slots.size();
-      for (Line line : open) {
+      for (Line line : byType) {
         if (spec.zoneOpen(line.kind.zone(), inZone)) {
           first = Math.min(first, line.fresh());
         }
@@ -291,20 +311,27 @@
 
     /** Where the job's next task would run first; null if nowhere. */
     Slot best(Map<String, Integer> inZone) {
-      if (zonesSeen != zones.size()) {
-        findLines();
-      }
-      Line.Place best = null;
-      for (Line line : open) {
+      findLines();
+      Line.Place best = best(byType, inZone, null);
+      best = best(byImage, inZone, best);
+      return best == null ? null : best.slot();
+    }
+
+    private Line.Place best(List<Line> from, Map<String, Integer> inZone, Line.Place sofar) {
+      Line.Place best = sofar;
+      for (Line line : from) {
         Line.Place first = spec.zoneOpen(line.kind.zone(), inZone) ? line.best() : null;
-        if (first != null
-            && (best == null
-                || first.at() < best.at()
-                || (first.at() == best.at() && first.order() < best.order()))) {
+        if (first != null && (best == null || before(first, best))) {
           best = first;
         }
       }
-      return best == null ? null : best.slot();
+      return best;
+    }
+
+    private boolean before(Line.Place a, Line.Place b) {
+      long first = a.at() + a.slot().fetchMicros(spec);
+      long second = b.at() + b.slot().fetchMicros(spec);
+      return first != second ? first < second : a.order() < b.order();
     }
   }
 
