--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -253,7 +253,7 @@
       int i = 0;
       while (i < need.count() && looked < MOST_FORECAST) {
         Forecast.Slot slot = need.starved() ? search.fresh(inZone) : search.best(inZone);
-        long starts = slot == null ? Forecast.NEVER : slot.earliest(spec);
+        long starts = search.startsMicros();
         long at = slot == null ? Forecast.NEVER : starts + slot.fetchMicros(spec);
         if (i < mine) {
           long latest = latestStart(need.job(), careful, at);
@@ -275,7 +275,7 @@
         int rest = Math.min(need.count() - i, MOST_FORECAST - looked);
         int n = anywhere ? (int) Math.max(1, Math.min(rest, slot.roomBy(spec, starts))) : 1;
         // A gang's tasks run side by side: none of them waits for another's end.
-        forecast.put(slot, spec, only >= 0 ? Forecast.NEVER : run, n);
+        forecast.put(slot, spec, starts, only >= 0 ? Forecast.NEVER : run, n);
         inZone.merge(slot.zone, n, Integer::sum);
         i += n;
         looked += n;
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -43,7 +43,11 @@
       add(fromMicros, type.cpus(), type.gpus(), type.memory());
     }
 
+    /** Grows with each change, so that a machine is looked at again only after one. */
+    private int version;
+
     private void add(long at, long cpus, long gpus, long memory) {
+      version++;
       int i = events.size();
       while (i > 0 && events.get(i - 1)[0] > at) {
         i--;
@@ -167,7 +171,7 @@
    * did a line of all machines for every image.
    */
   private final class Line {
-    private record Place(long at, int order, Slot slot) {}
+    private record Place(long at, int order, Slot slot, int version) {}
 
     private final JobSpec spec;
     private final Kind kind;
@@ -204,7 +208,7 @@
       looks++;
       long at = slot.earliest(spec);
       if (at < NEVER) {
-        places.add(new Place(at, order, slot));
+        places.add(new Place(at, order, slot, slot.version));
       }
     }
 
@@ -226,8 +230,7 @@
     private Place best() {
       while (!places.isEmpty()) {
         Place first = places.peek();
-        looks++;
-        if (first.slot().earliest(spec) <= first.at()) {
+        if (first.version() == first.slot().version) {
           return first;
         }
         places.poll();
@@ -257,6 +260,7 @@
     private final List<Line> byType = new ArrayList<>();
     private final List<Line> byImage = new ArrayList<>();
     private int seen = -1;
+    private long startsMicros = NEVER;
 
     private Search(JobSpec spec, int shard) {
       this.spec = spec;
@@ -306,6 +310,7 @@
           first = Math.min(first, line.fresh());
         }
       }
+      startsMicros = first == slots.size() ? NEVER : slots.get(first).earliest(spec);
       return first == slots.size() ? null : slots.get(first);
     }
 
@@ -314,9 +319,15 @@
       findLines();
       Line.Place best = best(byType, inZone, null);
       best = best(byImage, inZone, best);
+      startsMicros = best == null ? NEVER : best.at();
       return best == null ? null : best.slot();
     }
 
+    /** When a task could start on the machine found last. */
+    long startsMicros() {
+      return startsMicros;
+    }
+
     private Line.Place best(List<Line> from, Map<String, Integer> inZone, Line.Place sofar) {
       Line.Place best = sofar;
       for (Line line : from) {
@@ -356,12 +367,11 @@
 
   /** Puts a task on a machine and returns when it would be running. */
   long put(Slot slot, JobSpec spec, long runMicros) {
-    return put(slot, spec, runMicros, 1);
+    return put(slot, spec, slot.earliest(spec), runMicros, 1);
   }
 
   /** Puts tasks on a machine that start together; returns when they would be running. */
-  long put(Slot slot, JobSpec spec, long runMicros, int count) {
-    long at = slot.earliest(spec);
+  long put(Slot slot, JobSpec spec, long at, long runMicros, int count) {
     long running = at + slot.fetchMicros(spec);
     long end = runMicros >= NEVER ? NEVER : running + runMicros;
     slot.take(at, end, spec.cpus() * count, spec.gpus() * count, spec.memory() * count);
--- a/src/test/java/gladeknot/fleet/ForecastTest.java
+++ b/src/test/java/gladeknot/fleet/ForecastTest.java
@@ -41,7 +41,7 @@
       forecast.add(slot);
       assertEquals(2, slot.roomBy(spec, 0));
       for (int i = 0; i < 2; i += way == 0 ? 1 : 2) {
-        forecast.put(slot, spec, 6_000_000, way == 0 ? 1 : 2);
+        forecast.put(slot, spec, 0, 6_000_000, way == 0 ? 1 : 2);
       }
       assertEquals(0, slot.roomBy(spec, 0));
       ends[way] = slot.earliest(spec);
