--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -456,8 +456,7 @@
         }
         from = nowMicros + Math.max(ours ? 1_000_000 : 0, type.readyMicros() - age);
       }
-      Forecast.Slot slot =
-          new Forecast.Slot(type, w.zone(), w.spot(), w.shard(), from, List.copyOf(w.images()));
+      Forecast.Slot slot = new Forecast.Slot(type, w.zone(), w.spot(), w.shard(), from, w.images());
       for (Attempt a : w.attempts().values()) {
         if (!a.closed()) {
           Slice s = a.slice();
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -2,6 +2,7 @@
 
 import gladeknot.jobs.JobSpec;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -23,7 +24,10 @@
     final boolean spot;
     final int shard;
     private final long fromMicros;
-    final List<String> images;
+
+    /** As the machine has them: a forecast is over before they change. */
+    final Collection<String> images;
+
     private final List<long[]> events = new ArrayList<>();
 
     /** A machine that is empty from a time on. */
@@ -33,7 +37,7 @@
         boolean spot,
         int shard,
         long fromMicros,
-        List<String> images) {
+        Collection<String> images) {
       this.type = type;
       this.zone = zone;
       this.spot = spot;
