--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -44,6 +44,7 @@
   private static final int MOST_FORECAST = 3000;
   private static final int MOST_ERRORS = 4;
   private static final long SILENT_MICROS = 8_000_000;
+  private static final long LEAST_BACK_MICROS = 10_000_000;
 
   /** Tasks are often longer than they are thought to be. */
   private static final double CAREFUL = 1.15;
@@ -451,7 +452,8 @@
         }
       } else if (w.attempts().isEmpty()) {
         // Not seen up. One that should be up long since is not counted on.
-        if (age > 2 * type.readyMicros() + SILENT_MICROS && ours) {
+        boolean late = age > 2 * type.readyMicros() + SILENT_MICROS;
+        if (late && ours && nowMicros - membership.sinceMicros(w.shard()) > backMicros()) {
           continue;
         }
         from = nowMicros + Math.max(ours ? 1_000_000 : 0, type.readyMicros() - age);
@@ -666,13 +668,8 @@
       } else if (w.report() == null) {
         long age = Math.max(0, wallMicros - w.rentedWallMicros());
         long here = nowMicros - membership.sinceMicros(shard);
-        // After a restart a machine comes back only once others have ceased to answer it, a lease
-        // and some reports later: by a shorter time healthy ones were given back with their tasks.
-        long back =
-            busy
-                ? silent
-                : settings.workers().leaseMicros() + 4 * settings.workers().reportMicros();
-        if (age > 2 * ready + ready / 4 + 10_000_000 && here > Math.max(back, 10_000_000)) {
+        long back = busy ? silent : backMicros();
+        if (age > 2 * ready + ready / 4 + 10_000_000 && here > back) {
           why = busy ? "silent" : "never came up";
         }
       } else if (nowMicros - w.reportMicros() > silent
@@ -700,6 +697,16 @@
     }
   }
 
+  /**
+   * How long after a restart a machine may take to come back. It does so only once others have
+   * ceased to answer it, a lease and some reports later: by a shorter time healthy ones were given
+   * back with their tasks, and others rented in their place.
+   */
+  private long backMicros() {
+    long back = settings.workers().leaseMicros() + 4 * settings.workers().reportMicros();
+    return Math.max(back, LEAST_BACK_MICROS);
+  }
+
   /**
    * Whether most machines of a machine's zone are silent: then the zone is cut off rather than each
    * of them broken, and they will be of use when the cut ends.
--- a/src/test/java/gladeknot/app/WorldTest.java
+++ b/src/test/java/gladeknot/app/WorldTest.java
@@ -62,6 +62,9 @@
               24,
               w -> {
                 java.util.Set<String> before = w.hosts("req-web");
+                w.submit(0, World.job("req-more", "array", 6));
+                w.run(2 * SECOND);
+                int rentals = w.cloud.rentals();
                 for (int i = 0; i < 3; i++) {
                   w.kill(i);
                   w.start(i);
@@ -72,7 +75,8 @@
                   w.cutFromWorkers(i, false);
                 }
                 w.run(400_000);
-                // They are not taken for machines that never came up.
+                // They are not taken for machines that never came up, nor others rented for them.
+                assertEquals(rentals, w.cloud.rentals());
                 assertTrue(w.rented().containsAll(before), "given back: " + before);
               }),
           new Case(
