--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -62,9 +62,9 @@
    * come as much more seldom, so that what they cost a second stays the same. A machine takes many
    * times as long to boot.
    */
-  private static final double USUAL_FLEET = 250;
+  private static final double USUAL_FLEET = 180;
 
-  private static final double MOST_SLOWED = 5;
+  private static final double MOST_SLOWED = 8;
 
   /** A rental on its way: its machines count as coming until its answer is known. */
   private static final class Rental {
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -32,9 +32,9 @@
    * For so many machines a shard passes may follow one another that closely, for more as much less:
    * a pass looks at all of them. What it decides waits for a commit, which takes longer.
    */
-  private static final double USUAL_SHARE = 40;
+  private static final double USUAL_SHARE = 25;
 
-  private static final double MOST_SLOWED = 6;
+  private static final double MOST_SLOWED = 8;
 
   /** Workers become usable with time as well: a pass comes now and then in any case. */
   private static final long AGAIN_MICROS = 400_000;
--- a/src/main/java/gladeknot/workers/WorkerDesk.java
+++ b/src/main/java/gladeknot/workers/WorkerDesk.java
@@ -38,8 +38,16 @@
     void adopt(Report report);
   }
 
-  /** Far below what a worker waits for an answer, and above what a commit mostly takes. */
-  private static final long HOLD_MICROS = 400_000;
+  /**
+   * How long an answer waits for a start that is being decided or committed, at least, and as a
+   * part of the time between two reports: in a large fleet both take longer, and what misses this
+   * answer leaves its place empty until the next report. Far below what a worker waits for an
+   * answer.
+   */
+  private static final long LEAST_HOLD_MICROS = 400_000;
+
+  private static final double HOLD_SHARE = 0.3;
+  private static final long MOST_HOLD_MICROS = 1_200_000;
 
   /**
    * A quiet machine's answer waits for a start for this part of the time between two reports: a run
@@ -51,7 +59,7 @@
   private static final long MOST_QUIET_MICROS = 2_000_000;
 
   /** How often held answers are looked through, but for those that a commit sets free. */
-  private static final long RELEASE_MICROS = 20_000;
+  private static final long RELEASE_MICROS = 40_000;
 
   /** A worker that comes again so soon has not got through to its controller. */
   private static final long BACK_MICROS = 12_000_000;
@@ -75,6 +83,7 @@
   private final Map<String, Long> sentAway = new HashMap<>();
   private long nextSweepMicros;
   private final List<Held> held = new ArrayList<>();
+  private final long holdMicros;
   private final long quietMicros;
   private long nextReleaseMicros;
   private long nowMicros;
@@ -86,6 +95,8 @@
       WorkerBook workers,
       Outbox outbox,
       Sync sync) {
+    long share = (long) (settings.workers().reportMicros() * HOLD_SHARE);
+    this.holdMicros = Math.max(LEAST_HOLD_MICROS, Math.min(MOST_HOLD_MICROS, share));
     this.quietMicros =
         Math.min(MOST_QUIET_MICROS, (long) (settings.workers().reportMicros() * QUIET_SHARE));
     this.ledger = ledger;
@@ -155,7 +166,7 @@
     worker.report(report, nowMicros);
     List<Map<String, Object>> orders = sync.orders(worker, report);
     long quietUntil = orders.isEmpty() && sync.quiet(worker) ? nowMicros + quietMicros : 0;
-    long until = Math.max(nowMicros, quietUntil) + HOLD_MICROS;
+    long until = Math.max(nowMicros, quietUntil) + holdMicros;
     Held h = new Held(request, worker, report, sync.place(), until, quietUntil);
     if (pending(h) || nowMicros < quietUntil) {
       // A start for this worker is being decided or committed: it goes with this answer, rather
