--- a/src/test/java/gladeknot/app/LoadTest.java
+++ b/src/test/java/gladeknot/app/LoadTest.java
@@ -11,6 +11,9 @@
 
 /** What load does: nobody starves, and a larger fleet costs no more a task. */
 class LoadTest {
+  /** Below half of the time between two reports, in which a start would wait otherwise. */
+  private static final long MOST_WAIT = 450_000;
+
   @Test
   void theLargestBeginHoweverMuchSmallWorkComes() {
     World w = new World(3, 31);
@@ -32,6 +35,34 @@
     assertEquals(List.of(), w.broken());
   }
 
+  /**
+   * A run goes in an answer alone: a machine with nothing to do is answered late enough for a start
+   * that comes meanwhile, so that work in haste need not wait for the next report.
+   */
+  @Test
+  void startsReachMachinesThatHaveNothingToDoBeforeTheirNextReport() {
+    World w = new World(3, 33);
+    w.run(3 * World.SECOND);
+    // Machines of the ordinary kind, empty when the others come.
+    w.submit(0, World.job("req-gone", "service", 20));
+    w.run(10 * World.SECOND);
+    w.abort(0, "req-gone");
+    w.run(4 * World.SECOND);
+    long waited = 0;
+    int jobs = 12;
+    for (int i = 0; i < jobs; i++) {
+      String id = "req-web-" + i;
+      w.submit(i % 3, World.job(id, "service", 1));
+      while (w.zones(id).isEmpty()) {
+        w.run(World.SECOND / 50);
+        waited += World.SECOND / 50;
+      }
+      w.run(World.SECOND / 3);
+    }
+    assertTrue(waited / jobs < MOST_WAIT, waited / jobs + " us from submission to start");
+    assertEquals(List.of(), w.broken());
+  }
+
   @Test
   void writesForEachTaskDoNotGrowWithTheFleet() {
     double small = writesForEachTask(12);
