--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -541,12 +541,8 @@
       rentals.remove(r);
       return;
     }
-    LOG.info("rent {} {} for shard {}: {}", r.number, r.offer, r.shard, r.name);
-    ask(r);
-  }
-
-  private void ask(Rental r) {
     r.tries++;
+    LOG.info("rent {} {} for shard {}: {}", r.number, r.offer, r.shard, r.name);
     outbox.call(
         settings.cloud(),
         "POST",
@@ -565,7 +561,19 @@
     if (reply.status() == 0 && r.tries < 4) {
       // Perhaps rented: the same name brings the same machines and rents nothing more.
       tokens.force(1, nowMicros);
-      ask(r);
+      r.tries++;
+      outbox.call(
+          settings.cloud(),
+          "POST",
+          "/rentals",
+          Json.of(
+              "hire", r.name,
+              "hosttype", r.offer.type().name(),
+              "glade", r.offer.zone,
+              "loaners", r.offer.spot,
+              "number", r.number),
+          CALL_MICROS,
+          again -> hired(r, again));
       return;
     }
     rentals.remove(r);
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -206,7 +206,7 @@
       }
     }
     this.guaranteeMicros = within;
-    this.urgency = new Urgency(settings, jobs, slices, scheduler.estimates());
+    this.urgency = new Urgency(settings, policy, jobs, slices, scheduler.estimates());
   }
 
   /** What waits in all shards. */
--- a/src/main/java/gladeknot/placement/Urgency.java
+++ b/src/main/java/gladeknot/placement/Urgency.java
@@ -3,6 +3,7 @@
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobBook;
 import gladeknot.jobs.JobSpec;
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -42,11 +43,17 @@
   private final Estimates estimates;
   private final List<Double> times;
   private final Map<String, Map<Double, Boolean>> known = new HashMap<>();
+
+  /** By class, what is wanted of its jobs besides deadlines: a start or an end within a time. */
+  private final Map<String, List<Settings.Objective>> others = new HashMap<>();
+
+  private final Policy policy;
   private final Map<String, Long> keys = new HashMap<>();
   private long nextMicros;
   private long seenChanges = -1;
 
-  Urgency(Settings settings, JobBook jobs, SliceBook slices, Estimates estimates) {
+  Urgency(Settings settings, Policy policy, JobBook jobs, SliceBook slices, Estimates estimates) {
+    this.policy = policy;
     this.jobs = jobs;
     this.slices = slices;
     this.estimates = estimates;
@@ -55,6 +62,8 @@
       if (o.kind().equals("deadline")) {
         known.computeIfAbsent(o.jobClass(), c -> new HashMap<>()).put(o.times(), true);
         all.add(o.times());
+      } else if (o.jobClass() != null && (o.kind().equals("wait") || o.kind().equals("finished"))) {
+        others.computeIfAbsent(o.jobClass(), c -> new ArrayList<>()).add(o);
       }
     }
     times = all.stream().sorted().toList();
@@ -111,7 +120,21 @@
     if (!open.isEmpty()) {
       slots = Math.max(slots, places.of(open.get(0).spec()));
     }
+    // What was put off for its deadlines has other aims still: it goes among the first again once
+    // most of the time for the next of those is over. Without that, the largest would wait for the
+    // end of an overload, however long it lasts.
     long doneWork = 0;
+    List<Job> inTime = new ArrayList<>();
+    for (Job job : open) {
+      long latest = lastCallMicros(job, wallMicros);
+      if (latest > 0) {
+        keys.put(job.id(), latest);
+        doneWork += (estimates.runMicros(job.spec()) + START_MICROS) * todo(job);
+      } else {
+        inTime.add(job);
+      }
+    }
+    open = inTime;
     for (int i = 0; i < times.size() && !open.isEmpty(); i++) {
       List<Job> late = new ArrayList<>();
       doneWork = takeIn(open, times.get(i), i, Math.max(1, slots), doneWork, wallMicros, late);
@@ -122,6 +145,25 @@
     }
   }
 
+  /**
+   * By when a job must be done for the next aim, deadlines apart, that can still be met, if that
+   * comes near; 0 if none does.
+   */
+  private long lastCallMicros(Job job, long wall) {
+    long run = estimates.runMicros(job.spec());
+    long next = Long.MAX_VALUE;
+    for (Settings.Objective o : others.getOrDefault(job.spec().jobClass(), List.of())) {
+      long within = o.withinMicros() - START_MICROS;
+      long start = o.kind().equals("wait") ? within : within - run - TOLD_MICROS;
+      if (job.submittedMicros() + start >= wall) {
+        next = Math.min(next, start);
+      }
+    }
+    double early = policy.number(Policy.Name.LAST_CALL);
+    boolean near = next < Long.MAX_VALUE && wall - job.submittedMicros() >= next * (1 - early);
+    return near ? job.submittedMicros() + next + run : 0;
+  }
+
   private long takeIn(
       List<Job> open, double time, int tier, int slots, long before, long wall, List<Job> late) {
     List<Entry> entries = new ArrayList<>();
--- a/src/main/java/gladeknot/policy/Policy.java
+++ b/src/main/java/gladeknot/policy/Policy.java
@@ -41,6 +41,7 @@
     STOP_AFTER(Type.DURATION, 0, 600),
     STOP_EQUAL_AFTER(Type.DURATION, 0, 600),
     HASTE(Type.NUMBER, 0, 1),
+    LAST_CALL(Type.NUMBER, 0, 1),
     YOUNG(Type.DURATION, 0, 86400);
 
     private final Type type;
--- a/src/test/java/gladeknot/placement/UrgencyTest.java
+++ b/src/test/java/gladeknot/placement/UrgencyTest.java
@@ -7,9 +7,11 @@
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobBook;
 import gladeknot.ledger.Ledger;
+import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import gladeknot.standin.World;
 import gladeknot.workers.WorkerBook;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -56,14 +58,59 @@
                   new Wanted("req-first", 1, 0, 60)),
               List.of("req-first", "req-second", "req-hopeless")));
 
+  /** The same where the class is to begin within 180 s and to end within 300 s as well. */
+  private static final List<Case> WITH_OTHER_AIMS =
+      List.of(
+          new Case(
+              "put off for its deadline, it goes first when its time to begin runs out",
+              List.of(
+                  new Wanted("req-new", 1, 0, 60),
+                  new Wanted("req-waits", 2, 90, 40),
+                  new Wanted("req-largest", 3, 120, 40)),
+              List.of("req-new", "req-largest", "req-waits")),
+          new Case(
+              "once that is over, it goes first when its time to end runs out",
+              List.of(
+                  new Wanted("req-new", 1, 0, 60),
+                  new Wanted("req-last", 5, 270, 40),
+                  new Wanted("req-over", 30, 310, 40)),
+              List.of("req-last", "req-new", "req-over")));
+
   @TestFactory
   Stream<DynamicTest> order() {
-    return CASES.stream()
-        .map(c -> DynamicTest.dynamicTest(c.name(), () -> assertEquals(c.order(), order(c))));
+    Settings usual = World.settings(0, 1, World.SMALL);
+    Settings more = with(usual, "wait", 180, "finished", 300);
+    return Stream.concat(
+        CASES.stream().map(c -> test(c, usual)), WITH_OTHER_AIMS.stream().map(c -> test(c, more)));
+  }
+
+  private static DynamicTest test(Case c, Settings settings) {
+    return DynamicTest.dynamicTest(c.name(), () -> assertEquals(c.order(), order(c, settings)));
+  }
+
+  private static Settings with(Settings s, String first, long firstS, String then, long thenS) {
+    List<Settings.Objective> objectives = new ArrayList<>(s.objectives());
+    objectives.add(new Settings.Objective(first, "batch", firstS * SECOND, 0.99, 0));
+    objectives.add(new Settings.Objective(then, "batch", thenS * SECOND, 0.99, 0));
+    return new Settings(
+        s.node(),
+        s.zone(),
+        s.clientListen(),
+        s.peerListen(),
+        s.members(),
+        s.cloud(),
+        s.state(),
+        s.zones(),
+        s.clockErrorMicros(),
+        s.teams(),
+        objectives,
+        s.workers(),
+        s.stateLimits(),
+        s.cloudLimits(),
+        s.maxConnections());
   }
 
-  private static List<String> order(Case c) {
-    Settings settings = World.settings(0, 1, World.SMALL);
+  private static List<String> order(Case c, Settings settings) {
     JobBook jobs = new JobBook((before, now) -> {});
     Ledger ledger =
         new Ledger(settings, new Outbox(), new SplittableRandom(1), (key, before, now) -> {});
@@ -75,7 +122,7 @@
       jobs.changed(Job.key(w.id()), new Ledger.Entry(Json.of("s", spec, "h", 0, "t", at), 1));
       slices.jobChanged(w.id(), jobs.active(w.id()));
     }
-    Urgency urgency = new Urgency(settings, jobs, slices, new Estimates());
+    Urgency urgency = new Urgency(settings, Policy.of(""), jobs, slices, new Estimates());
     urgency.refresh(NOW, NOW, spec -> 1);
     return jobs.active().stream()
         .sorted(Comparator.comparingLong(urgency::key))
