Leases in one sum, kills repeated, delegates stop what is over, liveness key kept by condition

By reading: a former life's announcement, carried out late, took the liveness key from the present one; delegates renewed leases of workers with cancelled tasks; a kill went directly once; requests that met a conflict waited without end for a watch that hung; committed starts were sent however old the copy was.

HintTest no longer wants a later format refused: versions run side by side during an upgrade, and closing the connection for an added field would cut them apart. It wants instead that what is known of a later record is read, and that a cut one is refused at every length.

--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -45,9 +45,11 @@
   private final Placer placer;
   private final Budgets budgets;
   private final Fleet fleet;
+  private final String nodeName;
 
   public Core(Settings settings, Policy policy, RandomGenerator random) {
     policy.settings(settings);
+    nodeName = settings.node();
     ledger = new Ledger(settings, outbox, random, this);
     membership =
         new Membership(
@@ -126,6 +128,11 @@
                 scheduler.restarted(worker, now);
               }
 
+              @Override
+              public List<Map<String, Object>> overdue(Report report) {
+                return scheduler.overdue(report);
+              }
+
               @Override
               public boolean quiet(Worker worker) {
                 return scheduler.quiet(worker);
@@ -149,10 +156,12 @@
 
   /** Lets time pass; both clocks in microseconds, the steady one and the time of day. */
   public void tick(long nowMicros, long wallMicros) {
+    // First of all what the others are entitled to is judged by this time, also after a stall.
+    membership.now(nowMicros);
     slices.tick(nowMicros);
-    workerDesk.tick(nowMicros);
     ledger.tick(nowMicros);
     membership.tick(nowMicros);
+    workerDesk.tick(nowMicros);
     jobsDesk.tick(nowMicros, wallMicros);
     scheduler.tick(nowMicros);
     budgets.tick(nowMicros);
@@ -164,6 +173,7 @@
   /** Takes in what another controller tells. */
   public void hint(Hint hint) {
     budgets.hint(hint);
+    scheduler.withdrawnElsewhere(hint.withdrawn());
   }
 
   /** Takes a request; its answer comes out of the outbox under the same number. */
@@ -283,5 +293,10 @@
     public int[] counts(Job job) {
       return scheduler.counts(job);
     }
+
+    @Override
+    public void withdrawn(List<String> ids) {
+      outbox.hint(Hint.ofWithdrawn(nodeName, ids));
+    }
   }
 }
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -820,6 +820,7 @@
     Worker w = workers.get(host);
     if (w != null && w.entered()) {
       strangers.remove(host);
+      w.listed(Json.text(m, "endpoint"));
       boolean failed = "failed".equals(Json.text(m, "phase"));
       if (failed && !w.releasing && membership.commitsFor(w.shard())) {
         release(w, "failed");
--- a/src/main/java/gladeknot/jobs/JobBook.java
+++ b/src/main/java/gladeknot/jobs/JobBook.java
@@ -2,8 +2,10 @@
 
 import gladeknot.ledger.Ledger;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** The jobs that go on, as the followed copy has them; those over stay in the copy alone. */
 public final class JobBook {
@@ -13,6 +15,7 @@
   }
 
   private final Map<String, Job> active = new LinkedHashMap<>();
+  private final Set<String> over = new HashSet<>();
   private final Listener listener;
   private long changes;
 
@@ -24,6 +27,11 @@
     return active.get(id);
   }
 
+  /** Whether a job is done or withdrawn; one that is not known is not. */
+  public boolean over(String id) {
+    return over.contains(id);
+  }
+
   public Collection<Job> active() {
     return active.values();
   }
@@ -43,6 +51,9 @@
       active.put(id, now);
     } else {
       active.remove(id);
+      if (now != null) {
+        over.add(id);
+      }
     }
     listener.jobChanged(before, now);
   }
--- a/src/main/java/gladeknot/jobs/JobsDesk.java
+++ b/src/main/java/gladeknot/jobs/JobsDesk.java
@@ -34,6 +34,9 @@
 
     /** Done and running tasks of a job that goes on. */
     int[] counts(Job job);
+
+    /** Tells the other controllers of jobs whose cancellation has just been committed. */
+    void withdrawn(List<String> ids);
   }
 
   private record Pending(long request, String id, JobSpec spec, boolean abort, long sinceMicros) {}
@@ -256,10 +259,18 @@
     queue.addAll(later);
   }
 
+  private void refuse(List<Pending> batch, String why) {
+    batch.forEach(p -> outbox.comeBack(p.request(), 503, why, 1));
+  }
+
   private void finished(Outcome outcome, List<Pending> batch) {
     inFlight = false;
     switch (outcome.result()) {
       case DONE -> {
+        List<String> withdrawn = batch.stream().filter(Pending::abort).map(Pending::id).toList();
+        if (!withdrawn.isEmpty()) {
+          around.withdrawn(withdrawn);
+        }
         for (Pending p : batch) {
           if (p.abort()) {
             LOG.info("job {} withdrawn", p.id());
@@ -279,14 +290,13 @@
               () -> {
                 queue.addAll(batch);
                 flush();
-              });
+              },
+              () -> refuse(batch, "the state service does not answer"));
       case UNKNOWN ->
           // The transaction may still be applied; a repeat finds the job or commits it again.
-          batch.forEach(
-              p -> outbox.comeBack(p.request(), 503, "the state service does not answer", 1));
+          refuse(batch, "the state service does not answer");
       default -> {
-        batch.forEach(
-            p -> outbox.comeBack(p.request(), 503, "the state service is out of order", 1));
+        refuse(batch, "the state service is out of order");
         nextMicros = nowMicros + 100_000;
       }
     }
--- a/src/main/java/gladeknot/ledger/Ledger.java
+++ b/src/main/java/gladeknot/ledger/Ledger.java
@@ -183,10 +183,10 @@
   }
 
   private void expire(List<Barrier> barriers) {
-    if (barriers.isEmpty() || barriers.get(0).deadlineMicros > nowMicros) {
+    List<Barrier> late = barriers.stream().filter(b -> b.deadlineMicros <= nowMicros).toList();
+    if (late.isEmpty()) {
       return;
     }
-    List<Barrier> late = barriers.stream().filter(b -> b.deadlineMicros <= nowMicros).toList();
     barriers.removeAll(late);
     late.forEach(b -> b.failed.run());
   }
@@ -348,6 +348,19 @@
     }
   }
 
+  /** The same, but that it is given up when the copy does not get there soon. */
+  public void whenAt(long wanted, Runnable then, Runnable failed) {
+    if (loaded && epoch >= wanted) {
+      then.run();
+      return;
+    }
+    // It says nothing of how fresh the copy is: nothing was read for it.
+    Barrier b = new Barrier(then, failed, nowMicros + BARRIER_WAIT_MICROS);
+    b.epoch = wanted;
+    b.sentMicros = Long.MIN_VALUE / 2;
+    reading.add(b);
+  }
+
   /**
    * Runs one of two things: {@code fresh} once the copy is as new as this moment, {@code failed}
    * when that can't be learnt soon. Many barriers share one read.
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -30,19 +30,10 @@
   private static final String CARE = Ledger.ROOT + "care/";
   private static final String TERM = Ledger.ROOT + "term";
 
-  /** Clocks drift apart by at most 0.05%; twice that covers two of them. */
-  private static final double DRIFT = 0.001;
-
   private static final long CALL_MICROS = 2_000_000;
 
-  /** For a kill on its way, and for clocks that drift. */
-  private static final long LEAST_MARGIN_MICROS = 3_000_000;
-
   private static final long STEP_MICROS = 400_000;
 
-  /** How long one entry lets another controller keep a shard's workers alive. */
-  private static final long CARE_MICROS = 6_000_000;
-
   /** How many such entries one controller makes for one term. */
   private static final int MOST_CARES = 2;
 
@@ -65,6 +56,7 @@
   private final int home;
   private final Ledger ledger;
   private final Listener listener;
+  private final LeaseTimes times;
   private final long ttlMicros;
 
   private long grant;
@@ -95,10 +87,8 @@
     this.home = nodes.indexOf(settings.node());
     this.ledger = ledger;
     this.listener = listener;
-    // A longer one, by whatever rule, would let a cancelled task outlive its time.
-    long most =
-        settings.workers().cancelMicros() - settings.workers().leaseMicros() - LEAST_MARGIN_MICROS;
-    this.ttlMicros = Math.min(policy.micros(Policy.Name.STATE_LEASE), most);
+    this.times = LeaseTimes.of(settings.workers(), policy.micros(Policy.Name.STATE_LEASE));
+    this.ttlMicros = times.stateLeaseMicros();
     this.lapsedSince = new long[nodes.size()];
     this.sinceMicros = new long[nodes.size()];
     this.caredUntilMicros = new long[nodes.size()];
@@ -121,10 +111,35 @@
     return SHARD + shard;
   }
 
+  public LeaseTimes times() {
+    return times;
+  }
+
+  /** Tells the time by which what follows is judged. */
+  public void now(long micros) {
+    nowMicros = micros;
+  }
+
   /** Whether this controller's lease surely holds, so that it may act for its shards. */
   public boolean entitled() {
-    long since = Math.min(renewedMicros, ledger.freshMicros());
-    return alive && nowMicros < since + (long) (ttlMicros * (1 - DRIFT)) - 50_000;
+    return alive
+        && announced()
+        && nowMicros < times.actsUntilMicros(renewedMicros, ledger.freshMicros());
+  }
+
+  /**
+   * Whether starts that are committed may still be sent: a cancellation that the copy does not show
+   * can only be as old as the copy. Nothing is committed while the state service does not answer,
+   * so that little waits for this.
+   */
+  public boolean startsFor(int shard) {
+    return actsFor(shard) && nowMicros - ledger.freshMicros() < ttlMicros / 3;
+  }
+
+  /** Whether the liveness key is there under the present lease, as far as the copy tells. */
+  private boolean announced() {
+    Ledger.Entry entry = ledger.get(ALIVE + settings.node());
+    return grant != 0 && entry != null && Json.num(entry.data(), "inc", 0) == grant;
   }
 
   /** Whether a shard is ours and this controller may act for it. */
@@ -182,7 +197,7 @@
     long stamp = ledger.stamp(careKey(shard));
     if (stamp != careStamp[shard]) {
       careStamp[shard] = stamp;
-      caredUntilMicros[shard] = nowMicros + CARE_MICROS + (long) (CARE_MICROS * DRIFT);
+      caredUntilMicros[shard] = times.delegatedUntilMicros(nowMicros);
     }
     return caredUntilMicros[shard];
   }
@@ -224,7 +239,7 @@
           boolean done = outcome.result() == Result.DONE && term == term(shard);
           if (done) {
             LOG.info("cares for the workers of shard {} under term {}", shard, term);
-            caringUntilMicros[shard] = sent + (long) (CARE_MICROS * (1 - DRIFT));
+            caringUntilMicros[shard] = times.delegateUntilMicros(sent);
           }
           then.accept(done);
         });
@@ -258,6 +273,14 @@
     if (!ledger.loaded()) {
       return;
     }
+    if (alive && !announced()) {
+      // Somebody else's write, or the end of the lease that it was attached to, took it away: the
+      // others may have taken our shards since.
+      LOG.info("the liveness key is not ours any more");
+      alive = false;
+      List.copyOf(owned).forEach(this::drop);
+      nextRenewMicros = now;
+    }
     if (!renewing && now >= nextRenewMicros) {
       renew();
     }
@@ -320,24 +343,34 @@
         });
   }
 
-  /** Puts up the liveness key under the new lease, over one that a former life may have left. */
+  /**
+   * Puts up the liveness key under the new lease, over one that a former life may have left. The
+   * write is conditional on what the copy shows: a former life's, carried out late, must not take
+   * the key from this one, since it would go with the former lease and the shards with it.
+   */
   private void announce() {
     if (announcing) {
       return;
     }
     announcing = true;
     long with = grant;
-    Write write = new Write(ALIVE + settings.node(), Json.of("inc", with), with);
+    if (announced()) {
+      settle(with);
+      return;
+    }
+    String key = ALIVE + settings.node();
+    Write write = new Write(key, Json.of("inc", with), with);
     ledger.takeWrites(1, 0);
     ledger.commit(
-        Map.of(),
+        Map.of(key, ledger.stamp(key)),
         List.of(write),
         outcome -> {
-          announcing = false;
           if (outcome.result() == Result.DONE && with == grant) {
-            alive = true;
-            LOG.info("alive as {} under state lease {}", settings.node(), grant);
-          } else if (outcome.result() == Result.BAD && with == grant) {
+            settle(with);
+            return;
+          }
+          announcing = false;
+          if (outcome.result() == Result.BAD && with == grant) {
             grant = 0;
             nextRenewMicros = nowMicros;
           } else {
@@ -346,6 +379,24 @@
         });
   }
 
+  /** The key is up; what others did while it was not must be in the copy before we act. */
+  private void settle(long with) {
+    ledger.barrier(
+        () -> {
+          announcing = false;
+          if (with == grant && announced()) {
+            alive = true;
+            LOG.info("alive as {} under state lease {}", settings.node(), grant);
+          } else {
+            nextRenewMicros = nowMicros;
+          }
+        },
+        () -> {
+          announcing = false;
+          nextRenewMicros = nowMicros + STEP_MICROS;
+        });
+  }
+
   /** One step of moving shards: give ours back, take lapsed ones, make stamps new. */
   private void move() {
     for (int shard = 0; shard < nodes.size(); shard++) {
--- a/src/main/java/gladeknot/peer/Hint.java
+++ b/src/main/java/gladeknot/peer/Hint.java
@@ -10,15 +10,33 @@
 import java.util.List;
 
 /**
- * What a controller tells the others of a shard: which budgets hold up tasks that it has room for.
- * Nothing depends on a hint's arriving, or on its truth, but how soon budgets move.
+ * What a controller tells the others: which budgets hold up tasks that a shard has room for, and
+ * which jobs it has just withdrawn. A hint that gets lost or comes twice changes nothing but how
+ * soon budgets move and tasks are stopped.
+ *
+ * <p>A record begins with its format. Whoever reads takes what it knows of a format and leaves what
+ * a later version added at the end.
  */
-public record Hint(String from, int shard, long term, List<Short> shorts) {
+public record Hint(String from, int shard, long term, List<Short> shorts, List<String> withdrawn) {
   /** What a team lacks in a shard, in thousandths. */
   public record Short(String team, long cpus, long gpus) {}
 
-  private static final int FORMAT = 1;
+  /** In place of a shard where a hint is about none. */
+  public static final int NO_SHARD = Integer.MAX_VALUE;
+
+  private static final int FORMAT = 2;
   private static final int MOST_SHORTS = 1000;
+  private static final int MOST_WITHDRAWN = 500;
+
+  /** A hint about a shard's budgets. */
+  public static Hint ofShorts(String from, int shard, long term, List<Short> shorts) {
+    return new Hint(from, shard, term, shorts, List.of());
+  }
+
+  /** A hint about jobs whose cancellation is committed. */
+  public static Hint ofWithdrawn(String from, List<String> ids) {
+    return new Hint(from, NO_SHARD, 0, List.of(), ids);
+  }
 
   /** The record as it goes over the wire. */
   public byte[] encode() {
@@ -34,6 +52,10 @@
         out.writeLong(s.cpus());
         out.writeLong(s.gpus());
       }
+      out.writeInt(withdrawn.size());
+      for (String id : withdrawn) {
+        out.writeUTF(id);
+      }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -44,7 +66,7 @@
   public static Hint decode(byte[] record) throws IOException {
     DataInputStream in = new DataInputStream(new ByteArrayInputStream(record));
     int format = in.readByte();
-    if (format != FORMAT) {
+    if (format < 1) {
       throw new IOException("unknown format " + format);
     }
     String from = in.readUTF();
@@ -58,9 +80,19 @@
     for (int i = 0; i < count; i++) {
       shorts.add(new Short(in.readUTF(), in.readLong(), in.readLong()));
     }
-    if (in.available() > 0) {
+    List<String> withdrawn = new ArrayList<>();
+    if (format >= 2) {
+      int ids = in.readInt();
+      if (ids < 0 || ids > MOST_WITHDRAWN) {
+        throw new IOException("out of range");
+      }
+      for (int i = 0; i < ids; i++) {
+        withdrawn.add(in.readUTF());
+      }
+    }
+    if (format <= FORMAT && in.available() > 0) {
       throw new IOException("longer than it says");
     }
-    return new Hint(from, shard, term, shorts);
+    return new Hint(from, shard, term, shorts, withdrawn);
   }
 }
--- a/src/main/java/gladeknot/placement/Attempt.java
+++ b/src/main/java/gladeknot/placement/Attempt.java
@@ -53,7 +53,9 @@
   long killMicros;
 
   double graceS;
-  long lastKillMicros;
+
+  /** Its job is over, or is told to be: its end is wanted by whoever acts for the shard. */
+  boolean overdue;
 
   Attempt(Slice slice, int task, long number, String host, long decidedMicros) {
     this.slice = slice;
@@ -104,6 +106,11 @@
     return killMicros != 0;
   }
 
+  /** What is left of the time that it has to save. */
+  double graceLeftS(long nowMicros) {
+    return Math.max(0, graceS - (nowMicros - killMicros) / 1e6);
+  }
+
   /** The task's name on the wire. */
   public String name() {
     return name;
--- a/src/main/java/gladeknot/placement/Recorder.java
+++ b/src/main/java/gladeknot/placement/Recorder.java
@@ -41,6 +41,12 @@
   /** Write tokens that are left to submissions and aborts, as a share: users wait for those. */
   private static final double KEEP = 0.3;
 
+  /** The protocol's conditions for each change that a transaction may hold. */
+  private static final int CONDITIONS_A_CHANGE = 4;
+
+  /** How small transactions become, one halving after the other, when one was refused as such. */
+  private static final double LEAST_SHRUNK = 0.05;
+
   /** A change of one whole key for a shard. */
   public record Extra(
       int shard, Write write, Map<String, Long> conditions, Consumer<Boolean> then) {}
@@ -94,6 +100,7 @@
   private Batch inFlight;
   private boolean waiting;
   private boolean claimsNext;
+  private double shrunk = 1;
   private long nextMicros;
   private long nowMicros;
   private Runnable afterCommit = () -> {};
@@ -169,7 +176,25 @@
 
   /** How many writes a transaction may have by its size and by the tokens that are left. */
   private int room(double keep) {
-    return Math.min(settings.stateLimits().txnOps(), ledger.writesLeft(keep));
+    return Math.min(mostOperations(), ledger.writesLeft(keep));
+  }
+
+  private int mostOperations() {
+    return Math.max(2, (int) (settings.stateLimits().txnOps() * shrunk));
+  }
+
+  /**
+   * Whether a transaction that holds something already can take a slice's conditions as well: its
+   * own part and shard, its job, other slices of it that decide on zones, parts it claims from.
+   */
+  private boolean conditionsFit(Slice s, Batch batch) {
+    int more = 4 + s.claims.size();
+    Job job = jobs.active(s.job());
+    if (job != null && s.starts() && (job.spec().scatter() || job.spec().together())) {
+      more += slices.of(s.job()).size();
+    }
+    int most = CONDITIONS_A_CHANGE * mostOperations();
+    return batch.slices.isEmpty() || batch.conditions.size() + more <= most;
   }
 
   /**
@@ -197,7 +222,10 @@
     }
     if (!chosen.isEmpty()) {
       for (Slice s : List.copyOf(dirty)) {
-        if (s.claims.isEmpty() && chosen.contains(s.key()) && batch.bytes < MAX_BYTES) {
+        if (s.claims.isEmpty()
+            && chosen.contains(s.key())
+            && batch.bytes < MAX_BYTES
+            && conditionsFit(s, batch)) {
           gather(s, batch);
         }
       }
@@ -228,7 +256,7 @@
       Set<String> keys = new HashSet<>(batch.packed.keySet());
       keys.add(s.key());
       s.claims.keySet().forEach(from -> keys.add(from.key()));
-      if (keys.size() > room || batch.bytes > MAX_BYTES) {
+      if (keys.size() > room || batch.bytes > MAX_BYTES || !conditionsFit(s, batch)) {
         wanting = true;
         continue;
       }
@@ -419,6 +447,7 @@
     switch (outcome.result()) {
       case DONE -> {
         inFlight = null;
+        shrunk = Math.min(1, shrunk * 2);
         batch.packed.forEach(slices::wrote);
         batch.slices.forEach(this::saved);
         batch.extras.forEach(e -> e.then().accept(true));
@@ -453,6 +482,10 @@
         batch.packed.keySet().forEach(this::sync);
       }
       default -> {
+        if (outcome.result() == Ledger.Result.BAD) {
+          // Too large in some way: never repeated as it is.
+          shrunk = Math.max(LEAST_SHRUNK, shrunk / 2);
+        }
         inFlight = null;
         nextMicros = nowMicros + PAUSE_MICROS;
         extras.addAll(batch.extras);
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -1,6 +1,5 @@
 package gladeknot.placement;
 
-import gladeknot.http.Json;
 import gladeknot.http.Outbox;
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobBook;
@@ -25,12 +24,9 @@
 public final class Scheduler {
   private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
   private static final long CHECK_MICROS = 250_000;
-  private static final long ORDERS_MICROS = 3_000_000;
 
-  /** Worker and controller clocks drift by at most 0.05% each; some more for answers on the way. */
-  private static final double DRIFT = 0.0015;
-
-  private static final long LAPSE_MARGIN_MICROS = 300_000;
+  /** Beyond a lease, what a session may last without an answer that was taken. */
+  private static final long HEARING_MICROS = 3_000_000;
 
   /** After so many answers that a worker did not get, its tasks are started elsewhere. */
   private static final int MOST_MISSED = 2;
@@ -41,7 +37,7 @@
   private final SliceBook slices;
   private final WorkerBook workers;
   private final Recorder recorder;
-  private final Outbox outbox;
+  private final Stops stops;
   private final ImageSizes types;
   private final Estimates estimates = new Estimates();
   private final Set<String> finishing = new HashSet<>();
@@ -69,7 +65,7 @@
     this.slices = slices;
     this.workers = workers;
     this.recorder = recorder;
-    this.outbox = outbox;
+    this.stops = new Stops(membership, workers, outbox);
     this.types = types;
   }
 
@@ -94,6 +90,7 @@
 
   public void tick(long now) {
     nowMicros = now;
+    stops.tick(now);
     if (now < nextCheckMicros) {
       return;
     }
@@ -134,36 +131,53 @@
       if (!a.committed) {
         slices.remove(a);
       } else if (!a.closed) {
+        a.overdue = true;
         kill(a, 0);
       }
     }
   }
 
-  /** Stops an attempt, at once by a command and again with each report's answer. */
+  /**
+   * Another controller has committed that jobs are withdrawn, and our copy may not show it for a
+   * while: what we have of them is stopped at once.
+   */
+  public void withdrawnElsewhere(List<String> ids) {
+    for (String id : ids) {
+      for (Slice s : slices.of(id)) {
+        if (membership.owned().contains(s.shard())) {
+          for (Attempt a : s.out.values()) {
+            if (a.committed && !a.closed) {
+              a.overdue = true;
+              kill(a, 0);
+            }
+          }
+        }
+      }
+    }
+  }
+
+  /** Kills for what a report lists of jobs that are over by the copy. */
+  public List<Map<String, Object>> overdue(Report report) {
+    List<Map<String, Object>> kills = new ArrayList<>();
+    for (Report.Task t : report.tasks()) {
+      if (!t.ended() && jobs.over(t.job())) {
+        kills.add(order("kill", t.name(), t.number(), 0));
+      }
+    }
+    return kills;
+  }
+
+  /** Stops an attempt, by direct commands and again with each report's answer. */
   void kill(Attempt a, double graceS) {
     if (a.killMicros == 0) {
       a.killMicros = nowMicros;
       LOG.info("kill {} grace {} s term {}", a, graceS, membership.term(a.slice().shard()));
     }
     a.graceS = graceS;
-    Worker w = workers.get(a.host());
-    if (w == null || w.report() == null || !membership.actsFor(a.slice().shard())) {
-      return;
-    }
-    a.lastKillMicros = nowMicros;
-    outbox.call(
-        w.report().endpoint(),
-        "POST",
-        "/orders",
-        Json.of(
-            "fence", membership.term(a.slice().shard()),
-            "tenure", w.report().tenure(),
-            "orders", List.of(order("kill", a.name(), a.number(), graceS))),
-        ORDERS_MICROS,
-        reply -> {});
+    stops.add(a);
   }
 
-  private static Map<String, Object> order(String verb, String name, long number, double graceS) {
+  static Map<String, Object> order(String verb, String name, long number, double graceS) {
     Map<String, Object> order = new LinkedHashMap<>();
     order.put("verb", verb);
     order.put("strand", name);
@@ -198,7 +212,7 @@
     // A report from before our term may be an old one that was held up on its way. What it lists
     // as ended has ended; what it leaves out may have been started since.
     boolean fresh = report.token() >= membership.term(shard);
-    worker.judgeHearing(nowMicros, settings.workers().leaseMicros() + ORDERS_MICROS);
+    worker.judgeHearing(nowMicros, settings.workers().leaseMicros() + HEARING_MICROS);
     List<Map<String, Object>> reaps = new ArrayList<>();
     List<Map<String, Object>> kills = new ArrayList<>();
     List<Map<String, Object>> runs = new ArrayList<>();
@@ -215,18 +229,23 @@
         } else {
           kills.add(order("kill", t.name(), t.number(), 0));
         }
-      } else if (!a.closed) {
+      } else if (a.closed) {
+        // Given up, and its end not committed yet: it must not go on here meanwhile.
+        if (!t.ended()) {
+          kills.add(order("kill", t.name(), t.number(), 0));
+        }
+      } else {
         if (t.ended()) {
           ended(worker, a, t.cause());
         } else {
           seen(worker, a, t.phase());
           if (!a.killed() && jobs.active(a.slice().job()) == null) {
             // Its job was withdrawn while nobody owned the shard, or before we did.
+            a.overdue = true;
             kill(a, 0);
           }
           if (a.killed()) {
-            double left = a.graceS - (nowMicros - a.killMicros) / 1e6;
-            kills.add(order("kill", t.name(), t.number(), Math.max(0, left)));
+            kills.add(order("kill", t.name(), t.number(), a.graceLeftS(nowMicros)));
           }
         }
       }
@@ -248,7 +267,7 @@
         // Its reports come, and our answers don't get there: it must not wait here for ever.
         worker.doesNotHear(nowMicros);
         gone(a, "never taken up");
-      } else {
+      } else if (membership.startsFor(shard)) {
         a.sent = true;
         a.sentTenure = report.tenure();
         a.sentTick = report.tick();
@@ -365,7 +384,7 @@
 
   private void lapses(int shard) {
     long caredUntil = membership.caredUntilMicros(shard);
-    long lease = (long) (settings.workers().leaseMicros() * (1 + DRIFT)) + LAPSE_MARGIN_MICROS;
+    long lease = membership.times().lapsedAfterMicros();
     for (Slice s : List.copyOf(slices.of(shard))) {
       for (Attempt a : List.copyOf(s.out.values())) {
         if (a.closed || !a.committed) {
--- a/src/main/java/gladeknot/teams/Budgets.java
+++ b/src/main/java/gladeknot/teams/Budgets.java
@@ -232,7 +232,7 @@
     told.put(shard, Map.copyOf(map));
     List<Hint.Short> shorts = new ArrayList<>();
     map.forEach((team, a) -> shorts.add(new Hint.Short(team, a.cpus(), a.gpus())));
-    outbox.hint(new Hint(settings.node(), shard, membership.term(shard), shorts));
+    outbox.hint(Hint.ofShorts(settings.node(), shard, membership.term(shard), shorts));
   }
 
   private void give(Settings.Team team, int shard) {
--- a/src/main/java/gladeknot/workers/Report.java
+++ b/src/main/java/gladeknot/workers/Report.java
@@ -20,6 +20,11 @@
 
   /** A task on the machine. */
   public record Task(String name, long number, String phase, String cause, boolean stored) {
+    /** The job that it is of. */
+    public String job() {
+      return name.substring(0, name.lastIndexOf('/'));
+    }
+
     public boolean ended() {
       return phase.equals("ended");
     }
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -23,6 +23,9 @@
   private boolean leaving;
   private boolean entered;
 
+  /** Where it listens, by the cloud's list. */
+  private String listedEndpoint;
+
   private Report report;
   private long reportMicros;
   private long answeredMicros = NEVER;
@@ -266,6 +269,15 @@
     return report;
   }
 
+  /** Where commands reach it; null if that is not known. */
+  public String endpoint() {
+    return report != null ? report.endpoint() : listedEndpoint;
+  }
+
+  public void listed(String endpoint) {
+    listedEndpoint = endpoint;
+  }
+
   public long reportMicros() {
     return reportMicros;
   }
--- a/src/main/java/gladeknot/workers/WorkerDesk.java
+++ b/src/main/java/gladeknot/workers/WorkerDesk.java
@@ -34,6 +34,9 @@
     /** Whether nothing on a machine is about to end or to begin, as far as is known. */
     boolean quiet(Worker worker);
 
+    /** Kills for the tasks of a report whose jobs are over by the copy. */
+    List<Map<String, Object>> overdue(Report report);
+
     /** Makes an unexpected machine ours. */
     void adopt(Report report);
   }
@@ -240,8 +243,10 @@
   }
 
   /**
-   * Renews a worker's lease in its owner's place, without any command. The barrier is read after
-   * the report came: if the shard has changed hands since the report was sent, it shows.
+   * Renews a worker's lease in its owner's place. The barrier is read after the report came: if the
+   * shard has changed hands since the report was sent, it shows, and so does each cancellation
+   * committed by then. Whose job is over gets its kill, so that no delegation, however many follow
+   * one another, keeps a cancelled task beyond its time; other commands are the owner's alone.
    */
   private void careFor(long request, byte[] body, Report report, int shard, long term) {
     ledger.barrier(
@@ -249,7 +254,7 @@
           if (membership.actsFor(shard)) {
             hello(request, body);
           } else if (membership.term(shard) == term && membership.caresFor(shard)) {
-            outbox.answer(request, 200, Json.of("fence", term, "orders", List.of()));
+            outbox.answer(request, 200, Json.of("fence", term, "orders", sync.overdue(report)));
           } else {
             outbox.comeBack(request, 503, "its controller is changing", 1);
           }
--- /dev/null
+++ b/src/test/java/gladeknot/app/CheckerTest.java
@@ -0,0 +1,87 @@
+package gladeknot.app;
+
+import static gladeknot.standin.World.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.standin.World;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/** The world's checker catches each broken rule; without this a day that holds would say little. */
+class CheckerTest {
+  private record Case(String caught, Consumer<World> breach) {}
+
+  private static final List<Case> CASES =
+      List.of(
+          new Case("ran_twice", w -> w.impose(0, "req-web/" + w.taskNotOn(0, "req-web"))),
+          new Case(
+              "quota",
+              w -> {
+                for (int i = 0; i < 40; i++) {
+                  w.impose(i, "req-web/" + (100 + i));
+                }
+              }),
+          new Case(
+              "ran_cancelled",
+              w -> {
+                w.abort(0, "req-web");
+                w.run(SECOND);
+                downAll(w);
+                for (int i = 0; i < 30; i++) {
+                  w.renew(0);
+                  w.impose(0, "req-web/0");
+                  w.run(SECOND);
+                }
+              }),
+          new Case(
+              "started after its cancellation",
+              w -> {
+                w.abort(0, "req-web");
+                w.run(12 * SECOND);
+                w.impose(0, "req-web/0");
+              }),
+          new Case(
+              "forgotten",
+              w -> {
+                downAll(w);
+                w.calm();
+                w.run(80 * SECOND);
+              }),
+          new Case(
+              "left waiting",
+              w -> {
+                downAll(w);
+                w.calm();
+                w.run(110 * SECOND);
+              }),
+          new Case("accepted", w -> w.refused(0, World.job("req-fine", "array", 1), 422)),
+          new Case("refused with", w -> w.refused(0, World.job("bad", "array", 1), 422)));
+
+  private static void downAll(World w) {
+    for (int i = 0; i < 3; i++) {
+      w.kill(i);
+    }
+  }
+
+  @TestFactory
+  Stream<DynamicTest> eachBreachIsCaught() {
+    return CASES.stream().map(c -> DynamicTest.dynamicTest(c.caught(), () -> play(c)));
+  }
+
+  private static void play(Case c) {
+    World w = new World(3, 7);
+    w.watch();
+    w.run(3 * SECOND);
+    w.submit(0, World.job("req-web", "service", 4));
+    w.run(15 * SECOND);
+    assertEquals(List.of(), w.broken());
+    c.breach().accept(w);
+    w.run(SECOND);
+    assertTrue(
+        w.broken().stream().anyMatch(b -> b.startsWith(c.caught())), () -> "only " + w.broken());
+  }
+}
--- /dev/null
+++ b/src/test/java/gladeknot/app/MeetingsTest.java
@@ -0,0 +1,441 @@
+package gladeknot.app;
+
+import static gladeknot.standin.World.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.standin.World;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * Troubles that meet. Each row brings one meeting about, in the order of the operators' list, while
+ * users go on asking; then all is calm, nothing may be forgotten or left waiting, and what was
+ * accepted comes to its end.
+ */
+class MeetingsTest {
+  private record Case(String name, int nodes, long seed, Consumer<World> faults) {
+    private Case(String name, long seed, Consumer<World> faults) {
+      this(name, 3, seed, faults);
+    }
+  }
+
+  private static void crash(World w, int... nodes) {
+    for (int i : nodes) {
+      w.kill(i);
+    }
+  }
+
+  private static void back(World w, int... nodes) {
+    for (int i : nodes) {
+      w.start(i);
+    }
+  }
+
+  private static final List<Case> CASES =
+      List.of(
+          new Case(
+              "a command or its answer is held up, and the machine goes on",
+              1,
+              w -> {
+                w.commandDelay = 3 * SECOND;
+                w.hang(0, true);
+                w.hang(1, true);
+                w.abort(1, "req-cut");
+                w.run(5 * SECOND);
+                w.hang(0, false);
+                w.run(4 * SECOND);
+                w.hang(1, false);
+                w.run(10 * SECOND);
+                w.commandDelay = 0;
+              }),
+          new Case(
+              "a report is held back until a new owner has acted",
+              2,
+              w -> {
+                w.captureReports();
+                crash(w, 0);
+                w.run(20 * SECOND);
+                w.deliverReports(1);
+                w.deliverReports(2);
+                w.run(3 * SECOND);
+                back(w, 0);
+                w.run(10 * SECOND);
+                w.deliverReports(0);
+                w.run(10 * SECOND);
+              }),
+          new Case(
+              "an owner ends while machines can't be reached or don't hear the new one",
+              3,
+              w -> {
+                w.deafen(0, true);
+                w.mute(1, true);
+                w.hang(2, true);
+                crash(w, 0, 1);
+                w.run(20 * SECOND);
+                w.hang(2, false);
+                w.run(5 * SECOND);
+                w.deafen(0, false);
+                w.mute(1, false);
+                back(w, 0, 1);
+                w.run(10 * SECOND);
+              }),
+          new Case(
+              "transactions without an answer are carried out after newer ones",
+              4,
+              w -> {
+                w.lateWrites = 0.3;
+                w.submit(0, World.job("req-more", "array", 20));
+                w.run(25 * SECOND);
+                w.abort(1, "req-cut");
+                w.run(10 * SECOND);
+                w.lateWrites = 0;
+                w.run(12 * SECOND);
+              }),
+          new Case(
+              "an owner loses state service and peers while jobs are cancelled elsewhere",
+              5,
+              w -> {
+                w.cutFromState(0, true);
+                w.cutFromPeers(0, true);
+                w.run(SECOND);
+                w.abort(1, "req-cut");
+                w.run(30 * SECOND);
+                w.cutFromState(0, false);
+                w.cutFromPeers(0, false);
+              }),
+          new Case(
+              "a team at its limit, a change of owner, silent machines and a cancellation",
+              6,
+              w -> {
+                w.taskMicros = 15 * SECOND;
+                w.submit(0, World.job("req-full", "array", 60));
+                w.run(10 * SECOND);
+                w.hang(0, true);
+                w.hang(1, true);
+                w.hang(2, true);
+                crash(w, 1);
+                w.run(SECOND);
+                w.abort(0, "req-cut");
+                w.abort(2, "req-full");
+                w.submit(0, World.job("req-next", "array", 40));
+                w.run(6 * SECOND);
+                w.hang(0, false);
+                w.run(18 * SECOND);
+                w.hang(1, false);
+                w.hang(2, false);
+                back(w, 1);
+                w.taskMicros = 4 * SECOND;
+              }),
+          new Case(
+              "jobs of two or three tasks end far apart across changes of owner",
+              7,
+              w -> {
+                w.submit(0, World.job("req-far1", "array", 3));
+                w.submit(1, World.job("req-far2", "array", 2));
+                w.submit(2, World.job("req-far3", "array", 3));
+                w.run(3 * SECOND);
+                crash(w, 0);
+                w.loseAnswers = 2;
+                w.run(18 * SECOND);
+                back(w, 0);
+                w.run(2 * SECOND);
+                crash(w, 1, 2);
+                w.run(25 * SECOND);
+                back(w, 1, 2);
+              }),
+          new Case(
+              "more work than room, urgent and not, over slow links",
+              8,
+              w -> {
+                w.commandDelay = SECOND;
+                w.stateDelay = 300_000;
+                w.submit(0, World.job("req-bulk", "array", 90));
+                w.run(5 * SECOND);
+                for (int i = 0; i < 4; i++) {
+                  w.submit(i % 3, World.job("req-web" + i, "service", 2));
+                  w.submit(i % 3, World.job("req-gang" + i, "ensemble", 2));
+                }
+                w.run(30 * SECOND);
+                w.commandDelay = 0;
+                w.stateDelay = 0;
+              }),
+          new Case(
+              "a zone with workers and a controller is cut off for longer than a lease",
+              9,
+              w -> {
+                w.cutZone("b", 1);
+                w.run(SECOND);
+                w.abort(0, "req-cut");
+                w.run(World.LEASE + 20 * SECOND);
+                w.joinZone();
+              }),
+          new Case("the gap: refused alone, then an outage for all", 10, w -> gap(w, 0, 2, 60)),
+          new Case("the gap, an owner refused just before", 11, w -> gap(w, 1, 0.3, 40)),
+          new Case("the gap with five controllers", 5, 12, w -> gap(w, 3, 8, 33)),
+          new Case(
+              "owners change ten times in two minutes, also inside an outage",
+              13,
+              w -> {
+                for (int i = 0; i < 10; i++) {
+                  crash(w, i % 3);
+                  w.outage(i == 4 || i == 5);
+                  w.run(9 * SECOND);
+                  back(w, i % 3);
+                  w.run(3 * SECOND);
+                }
+                w.outage(false);
+              }),
+          new Case(
+              "all controllers are away for longer than a lease",
+              14,
+              w -> {
+                w.abort(0, "req-cut");
+                w.run(100_000);
+                crash(w, 0, 1, 2);
+                w.run(World.LEASE + 6 * SECOND);
+                back(w, 0, 1, 2);
+              }),
+          new Case(
+              "controllers hand over and back, all end, one returns, also within a second",
+              15,
+              w -> {
+                crash(w, 0);
+                w.run(20 * SECOND);
+                back(w, 0);
+                w.run(1_500_000);
+                crash(w, 0, 1, 2);
+                w.run(400_000);
+                back(w, 1);
+                w.run(15 * SECOND);
+                crash(w, 1);
+                w.run(300_000);
+                back(w, 0, 1, 2);
+              }),
+          new Case(
+              "jobs bound to one zone, arrays too, lose machines",
+              16,
+              w -> {
+                Map<String, Object> array = World.job("req-zone1", "array", 12);
+                array.put("glade", "b");
+                Map<String, Object> service = World.job("req-webzone", "service", 3);
+                service.put("glade", "a");
+                service.put("scatter", false);
+                Map<String, Object> gang = World.job("req-zone2", "ensemble", 3);
+                gang.put("glade", "b");
+                w.submit(0, array);
+                w.submit(1, service);
+                w.submit(2, gang);
+                w.run(4 * SECOND);
+                for (int i = 0; i < 5; i++) {
+                  w.killMachine(0);
+                }
+                w.run(5 * SECOND);
+                w.killMachine(1);
+                w.killMachine(1);
+              }),
+          new Case(
+              "machines reach no controller while commands reach them",
+              17,
+              w -> {
+                for (int i = 0; i < 4; i++) {
+                  w.mute(i, true);
+                }
+                w.run(SECOND);
+                crash(w, 0);
+                w.abort(1, "req-cut");
+                w.run(30 * SECOND);
+                back(w, 0);
+                for (int i = 0; i < 4; i++) {
+                  w.mute(i, false);
+                }
+              }),
+          new Case(
+              "old reports come after newer ones, also of earlier sessions and attempts",
+              18,
+              w -> {
+                w.copies = true;
+                w.captureReports();
+                w.deafen(0, true);
+                w.deafen(1, true);
+                w.run(12 * SECOND);
+                w.deafen(0, false);
+                w.deafen(1, false);
+                w.deliverReports(0);
+                w.run(3 * SECOND);
+                w.captureReports();
+                crash(w, 2);
+                w.run(17 * SECOND);
+                w.deliverReports(0);
+                w.deliverReports(1);
+                back(w, 2);
+                w.run(5 * SECOND);
+                w.deliverReports(2);
+                w.run(30 * SECOND);
+                w.copies = false;
+              }),
+          new Case(
+              "the state service answers slowly, refuses one and then all, while users cancel",
+              19,
+              w -> {
+                w.stateDelay = 900_000;
+                w.submit(0, World.job("req-slow", "array", 12));
+                w.run(10 * SECOND);
+                w.refuse(2, true);
+                w.abort(0, "req-cut");
+                w.run(5 * SECOND);
+                w.outage(true);
+                w.run(World.CANCEL + 10 * SECOND);
+                w.outage(false);
+                w.refuse(2, false);
+                w.run(10 * SECOND);
+                w.stateDelay = 0;
+              }),
+          new Case(
+              "cancelled, then several delegates in turn keep the workers of a silent owner",
+              5,
+              20,
+              w -> {
+                // Its workers can't reach it; the state service can, so that its lease holds.
+                w.cutFromWorkers(0, true);
+                w.run(2 * SECOND);
+                w.abort(1, "req-cut");
+                w.run(40 * SECOND);
+                w.cutFromWorkers(0, false);
+              }),
+          new Case(
+              "a former life's writes are carried out late, over and over",
+              21,
+              w -> {
+                for (int i = 0; i < 8; i++) {
+                  w.lateWrites = 0.6;
+                  crash(w, i % 3);
+                  w.run(250_000);
+                  back(w, i % 3);
+                  w.run(900_000);
+                  w.lateWrites = 0;
+                  w.run(7 * SECOND);
+                }
+              }));
+
+  private static void gap(World w, int refused, double before, long outageS) {
+    w.refuse(refused, true);
+    int other = (refused + 1) % 3;
+    w.run(200_000);
+    w.abort(other, "req-cut");
+    w.run((long) (before * 1e6));
+    w.outage(true);
+    w.run(5 * SECOND);
+    w.refuse(refused, false);
+    w.run(outageS * SECOND);
+    w.outage(false);
+  }
+
+  @TestFactory
+  Stream<DynamicTest> noRuleBreaksAndNothingIsForgotten() {
+    return CASES.stream().map(c -> DynamicTest.dynamicTest(c.name(), () -> play(c)));
+  }
+
+  private static void play(Case c) {
+    World w = new World(c.nodes(), c.seed());
+    w.watch();
+    w.run(3 * SECOND);
+    w.submit(0, World.job("req-array", "array", 40));
+    w.submit(1, World.job("req-gang", "ensemble", 3));
+    w.submit(2, World.job("req-web", "service", 4));
+    w.submit(1, World.job("req-cut1", "service", 3));
+    w.submit(0, World.job("req-cut", "service", 5));
+    w.run(15 * SECOND);
+    c.faults().accept(w);
+    w.calm();
+    // The largest begin within four minutes; most come to their end long before.
+    for (int i = 0; i < 26 && (i < 10 || !ended(w)); i++) {
+      w.run(10 * SECOND);
+    }
+    assertEquals(List.of(), w.broken());
+    assertEquals(0, w.state.tooLarge);
+    for (String id : w.jobs()) {
+      String phase = w.phase(id);
+      String wanted = id.startsWith("req-web") || id.equals("req-cut1") ? "running" : "done";
+      if (!phase.equals("withdrawn") || (!id.equals("req-cut") && !id.equals("req-full"))) {
+        assertEquals(id.equals("req-cut") ? "running" : wanted, phase, id);
+      }
+    }
+  }
+
+  private static boolean ended(World w) {
+    return w.jobs().stream()
+        .allMatch(
+            id ->
+                List.of("done", "withdrawn").contains(w.phase(id))
+                    || (w.phase(id).equals("running")
+                        && (id.startsWith("req-web") || id.startsWith("req-cut"))));
+  }
+
+  /** A cancellation, a question or a repeat meets the end of a job's last task, in every order. */
+  @Test
+  void whatMeetsTheEndOfAJobHasOneOutcomeEverywhere() {
+    for (int shift = 0; shift < 16; shift++) {
+      World w = new World(3, 40 + shift);
+      w.watch();
+      w.run(3 * SECOND);
+      w.submit(0, World.job("req-end", "array", 2));
+      while (w.doneTasks("req-end") < 1) {
+        w.run(10_000);
+      }
+      w.loseAnswers = shift % 4 == 3 ? 1 : 0;
+      w.applyLate = shift % 8 == 7 ? 4 * SECOND : 0;
+      w.run(shift * 60_000L);
+      w.abort(shift % 3, "req-end");
+      w.ask(
+          (shift + 1) % 3,
+          "POST",
+          "/work",
+          World.job("req-end", "array", 2),
+          a -> {
+            assertTrue(a.status() == 200 || a.status() == 503, "a repeat gets " + a.status());
+          });
+      w.poll((shift + 2) % 3, "req-end");
+      w.run(20 * SECOND);
+      for (int i = 0; i < 3; i++) {
+        w.poll(i, "req-end");
+      }
+      w.run(SECOND);
+      assertEquals(List.of(), w.broken());
+      assertTrue(List.of("done", "withdrawn").contains(w.phase("req-end")));
+    }
+  }
+
+  @Test
+  void whatCanNeverRunOrLacksAFieldIsNotAccepted() {
+    World w = new World(3, 60);
+    w.run(4 * SECOND);
+    for (String field : World.job("req-lack", "array", 1).keySet()) {
+      if (!List.of("hosttypes", "glade", "dueS").contains(field)) {
+        Map<String, Object> lacking = World.job("req-lack", "array", 1);
+        lacking.remove(field);
+        w.refused(0, lacking, 400);
+      }
+    }
+    Map<String, Object> large = World.job("req-large", "array", 1);
+    large.put("memoryGb", 17.0);
+    w.refused(1, large, 422);
+    Map<String, Object> nowhere = World.job("req-nowhere", "service", 1);
+    nowhere.put("glade", "c");
+    w.refused(1, nowhere, 422);
+    Map<String, Object> unknown = World.job("req-type", "ensemble", 1);
+    unknown.put("hosttypes", List.of("huge"));
+    w.refused(2, unknown, 422);
+    Map<String, Object> nobody = World.job("req-nobody", "array", 1);
+    nobody.put("owner", "nobody");
+    w.refused(2, nobody, 422);
+    w.refused(0, World.job("req-limit", "ensemble", 25), 422);
+    w.run(2 * SECOND);
+    assertEquals(List.of(), w.broken());
+  }
+}
--- a/src/test/java/gladeknot/standin/CloudStandIn.java
+++ b/src/test/java/gladeknot/standin/CloudStandIn.java
@@ -98,6 +98,8 @@
           Json.of(
               "id",
               m.id,
+              "endpoint",
+              m.id + ":9",
               "hosttype",
               m.type,
               "glade",
--- a/src/test/java/gladeknot/standin/StateStandIn.java
+++ b/src/test/java/gladeknot/standin/StateStandIn.java
@@ -24,6 +24,14 @@
   private long nextGrant = 1;
   private long nowMicros;
 
+  /** What a transaction may hold: changes, four times as many conditions, bytes a value. */
+  public int mostChanges = 16;
+
+  public int mostValueBytes = 8192;
+
+  /** Transactions that were refused for their size. */
+  public int tooLarge;
+
   /** How many transactions changed something. */
   public int commits;
 
@@ -162,7 +170,22 @@
     return new Answer(200, Json.of("epoch", epoch, "events", events));
   }
 
+  private boolean fits(Map<String, Object> txn) {
+    boolean values = true;
+    for (Map<String, Object> w : Json.objects(txn, "writes")) {
+      values &= Json.bytes(Json.map(w.get("data"))).length <= mostValueBytes;
+    }
+    return values
+        && Json.objects(txn, "writes").size() <= mostChanges
+        && Json.objects(txn, "if").size() <= 4 * mostChanges
+        && Json.bytes(txn).length <= 64 * 1024;
+  }
+
   private Answer commit(Map<String, Object> txn) {
+    if (!fits(txn)) {
+      tooLarge++;
+      return new Answer(400, Json.of("error", "too many operations"));
+    }
     for (Map<String, Object> w : Json.objects(txn, "writes")) {
       long grant = Json.num(w, "grant", 0);
       if (grant != 0 && !grants.containsKey(grant)) {
--- a/src/test/java/gladeknot/standin/WorkerStandIn.java
+++ b/src/test/java/gladeknot/standin/WorkerStandIn.java
@@ -129,6 +129,16 @@
     Json.objects(answer, "orders").forEach(this::execute);
   }
 
+  /** Whether its lease is over, also while it hangs and has not seen it yet. */
+  public boolean lapsed(long now) {
+    return now - renewedMicros > leaseMicros;
+  }
+
+  /** Starts so far of this life. */
+  public int startCount() {
+    return starts.size();
+  }
+
   public long tenure() {
     return tenure;
   }
