--- a/src/test/java/gladeknot/app/MeetingsTest.java
+++ b/src/test/java/gladeknot/app/MeetingsTest.java
@@ -7,6 +7,7 @@
 import gladeknot.standin.World;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
@@ -297,17 +298,48 @@
                 w.stateDelay = 0;
               }),
           new Case(
-              "cancelled, then several delegates in turn keep the workers of a silent owner",
+              "an owner is cut from its workers alone, and jobs are cancelled",
               5,
               20,
               w -> {
-                // Its workers can't reach it; the state service can, so that its lease holds.
                 w.cutFromWorkers(0, true);
                 w.run(2 * SECOND);
                 w.abort(1, "req-cut");
                 w.run(40 * SECOND);
                 w.cutFromWorkers(0, false);
               }),
+          new Case(
+              "two zones apart: delegates in turn renew leases while jobs are cancelled",
+              5,
+              22,
+              w -> {
+                // Every owner goes on in its own zone, so that none gives its shard away; without
+                // kills by delegates a cancelled task lasted for as long as they took turns.
+                w.partition("a", Set.of(0, 1));
+                w.partition("b", Set.of(2, 3, 4));
+                w.run(4 * SECOND);
+                w.abort(1, "req-cut");
+                w.run(60 * SECOND);
+                w.heal();
+              }),
+          new Case(
+              "a former life's announcement comes late, and its lease ends before ours",
+              23,
+              w -> {
+                // Unconditional, it took the liveness key along; the shard was taken while its
+                // owner, refused by the state service just then, still answered its workers.
+                crash(w, 0);
+                w.run(SECOND);
+                w.holdNext("g/alive/node-0", 4 * SECOND);
+                back(w, 0);
+                w.run(SECOND);
+                crash(w, 0);
+                back(w, 0);
+                w.run(11_500_000);
+                w.refuse(0, true);
+                w.run(25 * SECOND);
+                w.refuse(0, false);
+              }),
           new Case(
               "a former life's writes are carried out late, over and over",
               21,
@@ -377,6 +409,98 @@
                         && (id.startsWith("req-web") || id.startsWith("req-cut"))));
   }
 
+  /** A machine that is out of reach when a kill is decided gets it once it can be reached. */
+  @Test
+  void killsAreRepeatedUntilTheyAreAnswered() {
+    World w = calmWorld(31);
+    int there = w.zones("req-web").values().stream().mapToInt(n -> n).sum();
+    assertEquals(4, there);
+    for (int i = 0; i < w.machineCount(); i++) {
+      w.mute(i, true);
+      w.deafen(i, true);
+    }
+    w.abort(1, "req-web");
+    w.run(2_500_000);
+    for (int i = 0; i < w.machineCount(); i++) {
+      w.deafen(i, false);
+    }
+    // Long before their leases lapse, and without any report.
+    w.run(2_300_000);
+    assertEquals(Map.of(), w.zones("req-web"));
+    assertEquals(List.of(), w.broken());
+  }
+
+  /** An owner that lost the state service sends no start whose job may be cancelled by now. */
+  @Test
+  void committedStartsAreNotSentByAnOldCopy() {
+    World w = calmWorld(32);
+    w.submit(0, World.job("req-cut", "service", 6));
+    w.run(60_000);
+    for (int i = 0; i < w.machineCount(); i++) {
+      w.mute(i, true);
+    }
+    w.run(900_000);
+    for (int i = 0; i < 3; i++) {
+      w.cutFromPeers(i, true);
+    }
+    w.refuse(0, true);
+    w.refuse(1, true);
+    w.abort(2, "req-cut");
+    w.run(7_300_000);
+    for (int i = 0; i < w.machineCount(); i++) {
+      w.mute(i, false);
+    }
+    w.run(10 * SECOND);
+    assertEquals("withdrawn", w.phase("req-cut"));
+    assertEquals(List.of(), w.broken());
+  }
+
+  /** Much begins at once after an outage: transactions stay within what the service takes. */
+  @Test
+  void transactionsStayWithinTheirSizeAfterAnOutage() {
+    World w = new World(3, 33, new World.Scale(90, 360_000, 300, 150));
+    w.taskMicros = 300 * SECOND;
+    w.run(3 * SECOND);
+    for (int i = 0; i < 300; i++) {
+      w.submit(i % 3, World.job("req-one" + i, "array", 1));
+    }
+    w.run(25 * SECOND);
+    w.outage(true);
+    w.run(40 * SECOND);
+    w.outage(false);
+    w.run(20 * SECOND);
+    assertEquals(0, w.state.tooLarge);
+    assertTrue(w.tasksOnMachines() > 250, "only " + w.tasksOnMachines());
+    assertEquals(List.of(), w.broken());
+  }
+
+  /** A request that meets a change which our copy does not get to see is refused, not kept. */
+  @Test
+  void aRequestDoesNotWaitForAWatchThatHangs() {
+    World w = calmWorld(34);
+    w.hangWatch(2, true);
+    w.run(300_000);
+    w.submit(0, World.job("req-new", "array", 2));
+    w.run(SECOND);
+    int[] status = {0};
+    w.ask(2, "POST", "/work", World.job("req-new", "array", 2), a -> status[0] = a.status());
+    w.run(4 * SECOND);
+    assertEquals(503, status[0]);
+    w.hangWatch(2, false);
+    w.run(15 * SECOND);
+    w.ask(2, "POST", "/work", World.job("req-new", "array", 2), a -> status[0] = a.status());
+    w.run(2 * SECOND);
+    assertEquals(200, status[0]);
+  }
+
+  private static World calmWorld(long seed) {
+    World w = new World(3, seed);
+    w.run(3 * SECOND);
+    w.submit(1, World.job("req-web", "service", 4));
+    w.run(12 * SECOND);
+    return w;
+  }
+
   /** A cancellation, a question or a repeat meets the end of a job's last task, in every order. */
   @Test
   void whatMeetsTheEndOfAJobHasOneOutcomeEverywhere() {
--- a/src/test/java/gladeknot/standin/World.java
+++ b/src/test/java/gladeknot/standin/World.java
@@ -44,6 +44,7 @@
     boolean cutFromWorkers;
     boolean cutFromPeers;
     boolean refused;
+    boolean watchHangs;
     long life;
     final Map<Long, java.util.function.Consumer<Outbox.Answer>> asked = new HashMap<>();
     long nextRequest = 1;
@@ -118,6 +119,9 @@
   private String cutZone = "";
   private int cutZoneNode = -1;
   private final List<Map<String, Object>> captured = new ArrayList<>();
+  private final Map<String, Set<Integer>> reach = new HashMap<>();
+  private String heldWrite = "";
+  private long heldMicros;
 
   /** A start that a controller sent before it could know of a cancellation is this old at most. */
   private static final long START_GRACE = 7 * SECOND;
@@ -248,7 +252,31 @@
     cutZoneNode = -1;
   }
 
+  /** The machines of a zone and these controllers reach one another, and no others. */
+  public void partition(String zone, Set<Integer> with) {
+    reach.put(zone, with);
+  }
+
+  public void heal() {
+    reach.clear();
+  }
+
+  /** The next transaction that changes such a key gets no answer and is carried out later. */
+  public void holdNext(String key, long micros) {
+    heldWrite = key;
+    heldMicros = micros;
+  }
+
+  /** A controller's watches tell nothing, all else is served. */
+  public void hangWatch(int i, boolean on) {
+    nodes.get(i).watchHangs = on;
+  }
+
   private boolean linked(int node, Machine m) {
+    Set<Integer> with = reach.get(m.worker.zone());
+    if (nodes.get(node).cutFromWorkers || (with != null && !with.contains(node))) {
+      return false;
+    }
     return cutZone.isEmpty() || cutZone.equals(m.worker.zone()) == (node == cutZoneNode);
   }
 
@@ -437,6 +465,12 @@
       later(call.timeoutMicros(), () -> reply(i, life, call, null));
       return;
     }
+    if (commit && !heldWrite.isEmpty() && new String(call.body()).contains(heldWrite)) {
+      heldWrite = "";
+      later(heldMicros, () -> serve(i, call));
+      later(call.timeoutMicros(), () -> reply(i, life, call, null));
+      return;
+    }
     boolean command = call.path().equals("/orders") || call.path().equals("/status");
     delay += command ? commandDelay : 0;
     if (commit && loseAnswers > 0) {
@@ -455,7 +489,8 @@
 
   private void follow(int i, long life, Outbox.Call call, long until) {
     long from = Long.parseLong(StateStandIn.query(call.path()).get("from"));
-    boolean reachable = !outage && !nodes.get(i).cutFromState && !nodes.get(i).refused;
+    boolean reachable =
+        !outage && !nodes.get(i).cutFromState && !nodes.get(i).refused && !nodes.get(i).watchHangs;
     if (reachable && (state.changedSince(from) || now >= until)) {
       StateStandIn.Answer answer = serve(i, call);
       later(3_000 + stateDelay, () -> reply(i, life, call, answer));
@@ -579,7 +614,7 @@
           SECOND + random.nextLong(3 * LEASE),
           () -> ask(to, "POST", "/hello", report, answer -> {}));
     }
-    if (!n.up || n.cutFromWorkers || m.mute || !linked(m.node, m)) {
+    if (!n.up || m.mute || !linked(m.node, m)) {
       if (!n.up || m.mute) {
         over[0] = true;
         m.waiting = false;
@@ -742,6 +777,15 @@
     throw new IllegalStateException("all of " + job + " is there");
   }
 
+  /** How many tasks are on machines. */
+  public int tasksOnMachines() {
+    int count = 0;
+    for (Machine m : machines.values()) {
+      count += m.dead ? 0 : m.worker.live().size();
+    }
+    return count;
+  }
+
   /** All jobs that were submitted. */
   public Set<String> jobs() {
     return Set.copyOf(known.keySet());
