--- a/src/test/java/gladeknot/app/MeetingsTest.java
+++ b/src/test/java/gladeknot/app/MeetingsTest.java
@@ -335,9 +335,9 @@
                 w.run(SECOND);
                 crash(w, 0);
                 back(w, 0);
-                w.run(11_500_000);
+                w.run(2_900_000);
                 w.refuse(0, true);
-                w.run(25 * SECOND);
+                w.run(30 * SECOND);
                 w.refuse(0, false);
               }),
           new Case(
@@ -430,6 +430,21 @@
     assertEquals(List.of(), w.broken());
   }
 
+  /** Delegates renew leases in turn: each cancelled task gets its kill from them as well. */
+  @Test
+  void delegatesStopWhatIsCancelled() {
+    World w = calmWorld(35);
+    w.submit(0, World.job("req-cut", "service", 8));
+    w.run(6 * SECOND);
+    w.kill(0);
+    w.run(SECOND);
+    w.abort(1, "req-cut");
+    // Its lease holds for twice as long: nobody has taken its shard yet, and its workers live on.
+    w.run(6 * SECOND);
+    assertEquals(Map.of(), w.zones("req-cut"));
+    assertEquals(4, w.zones("req-web").values().stream().mapToInt(n -> n).sum());
+  }
+
   /** An owner that lost the state service sends no start whose job may be cancelled by now. */
   @Test
   void committedStartsAreNotSentByAnOldCopy() {
@@ -468,7 +483,8 @@
     w.outage(true);
     w.run(40 * SECOND);
     w.outage(false);
-    w.run(20 * SECOND);
+    w.stateDelay = 800_000;
+    w.run(40 * SECOND);
     assertEquals(0, w.state.tooLarge);
     assertTrue(w.tasksOnMachines() > 250, "only " + w.tasksOnMachines());
     assertEquals(List.of(), w.broken());
