--- a/src/test/java/gladeknot/app/MeetingsTest.java
+++ b/src/test/java/gladeknot/app/MeetingsTest.java
@@ -409,6 +409,25 @@
                         && (id.startsWith("req-web") || id.startsWith("req-cut"))));
   }
 
+  /** A former life's announcement that is carried out late must not take the liveness key. */
+  @Test
+  void aLateAnnouncementDoesNotTakeTheLivenessKey() {
+    World w = calmWorld(36);
+    w.kill(0);
+    w.run(SECOND);
+    w.holdNext("g/alive/node-0", 4 * SECOND);
+    w.start(0);
+    w.run(SECOND);
+    w.kill(0);
+    w.start(0);
+    w.run(2 * SECOND);
+    Object ours = w.state.get("g/alive/node-0").get("inc");
+    for (int i = 0; i < 300; i++) {
+      w.run(10_000);
+      assertEquals(ours, w.state.get("g/alive/node-0").get("inc"));
+    }
+  }
+
   /** A machine that is out of reach when a kill is decided gets it once it can be reached. */
   @Test
   void killsAreRepeatedUntilTheyAreAnswered() {
