--- a/src/main/java/gladeknot/ledger/Ledger.java
+++ b/src/main/java/gladeknot/ledger/Ledger.java
@@ -415,6 +415,13 @@
         reply -> then.accept(outcome(reply, changes)));
   }
 
+  /** The keys of a transaction with the bytes that are written to each. */
+  private static List<String> sizes(List<Write> changes) {
+    return changes.stream()
+        .map(w -> w.key() + " " + (w.data() == null ? 0 : Json.bytes(w.data()).length))
+        .toList();
+  }
+
   private Outcome outcome(Outbox.Reply reply, List<Write> changes) {
     Map<String, Object> body = reply.object();
     long at = Json.num(body, "epoch", -1);
@@ -439,7 +446,7 @@
         return new Outcome(Result.REFUSED, -1, List.of());
       }
       case 400 -> {
-        LOG.error("transaction refused as malformed: {}", body.get("error"));
+        LOG.error("transaction refused as malformed: {}: {}", body.get("error"), sizes(changes));
         return new Outcome(Result.BAD, -1, List.of());
       }
       default -> {
--- a/src/main/java/gladeknot/placement/Recorder.java
+++ b/src/main/java/gladeknot/placement/Recorder.java
@@ -38,6 +38,9 @@
   /** Ends wait so long for company; starts and what completes a slice don't. */
   private static final long END_WAIT_MICROS = 700_000;
 
+  /** How long nothing is claimed from a slice whose part is full. */
+  private static final long FULL_MICROS = 2_000_000;
+
   /** Write tokens that are left to submissions and aborts, as a share: users wait for those. */
   private static final double KEEP = 0.3;
 
@@ -151,6 +154,9 @@
     if (inFlight != null || waiting || nowMicros < nextMicros) {
       return;
     }
+    // A slice that was dropped with its job, before its first start was written, has nothing to
+    // write.
+    dirty.removeIf(s -> slices.get(s.shard(), s.job()) != s);
     if (dirty.isEmpty() && extras.isEmpty() && edits.isEmpty()) {
       return;
     }
@@ -165,6 +171,10 @@
     if (batch == null || batch.operations() == 0) {
       return;
     }
+    dropTooLarge(batch);
+    if (batch.operations() == 0) {
+      return;
+    }
     if (!ledger.takeWrites(batch.operations(), 0)) {
       batch.extras.forEach(extras::addFirst);
       batch.edits.forEach(edits::addFirst);
@@ -174,6 +184,33 @@
     ledger.commit(batch.conditions, batch.writes(), this::finished);
   }
 
+  /**
+   * Leaves out parts that the service would not take: what is in them goes when more has ended, and
+   * nothing is sent again that was refused for its size.
+   */
+  private void dropTooLarge(Batch batch) {
+    int most = settings.stateLimits().valueBytes();
+    for (String key : List.copyOf(batch.packed.keySet())) {
+      Map<String, Object> data = batch.packed.get(key);
+      if (data == null || !key.startsWith(Slice.KEYS) || SliceBook.bytes(data) + 2 <= most) {
+        continue;
+      }
+      LOG.info("{} would be too large", key);
+      List<Caught> dropped = batch.slices.stream().filter(c -> c.keys().contains(key)).toList();
+      boolean claims = dropped.stream().anyMatch(c -> !c.claims().isEmpty());
+      if (claims) {
+        // What is taken and whom it is taken from go together or not at all.
+        batch.packed.clear();
+        batch.slices.forEach(c -> reload(c.slice()));
+        batch.slices.clear();
+        return;
+      }
+      batch.packed.remove(key);
+      batch.conditions.remove(key);
+      batch.slices.removeAll(dropped);
+    }
+  }
+
   /** How many writes a transaction may have by its size and by the tokens that are left. */
   private int room(double keep) {
     return Math.min(mostOperations(), ledger.writesLeft(keep));
@@ -376,6 +413,12 @@
     s.claims.clear();
   }
 
+  private static BitSet without(BitSet all, BitSet taken) {
+    BitSet left = (BitSet) all.clone();
+    left.andNot(taken);
+    return left;
+  }
+
   private void gather(Slice s, Batch batch) {
     Job job = jobs.active(s.job());
     if (job == null) {
@@ -403,6 +446,20 @@
       s.restUntilMicros = nowMicros + END_WAIT_MICROS;
       return;
     }
+    for (Map.Entry<Slice, BitSet> claim : s.claims.entrySet()) {
+      Slice from = claim.getKey();
+      // Taking tasks from a slice may make its record longer, or its first: a full part has no
+      // room.
+      Map<String, Object> there = batch.packed.get(from.key());
+      int bytes = there == null ? slices.bytes(from.key()) : SliceBook.bytes(there);
+      String left = from.record(without(from.assigned, claim.getValue()));
+      int more = left.length() + from.job().length() + SliceBook.FIELD_BYTES;
+      if (bytes + more > settings.stateLimits().valueBytes()) {
+        reload(s);
+        from.restUntilMicros = nowMicros + FULL_MICROS;
+        return;
+      }
+    }
     Set<String> keys = new HashSet<>();
     keys.add(s.key());
     keys.add(Membership.shardKey(s.shard()));
@@ -432,9 +489,7 @@
     }
     for (Map.Entry<Slice, BitSet> claim : s.claims.entrySet()) {
       Slice from = claim.getKey();
-      BitSet left = (BitSet) from.assigned.clone();
-      left.andNot(claim.getValue());
-      put(batch, from.key(), from.job(), from.record(left));
+      put(batch, from.key(), from.job(), from.record(without(from.assigned, claim.getValue())));
       keys.add(from.key());
     }
     batch.slices.add(
@@ -517,6 +572,9 @@
   private void saved(Caught c) {
     Slice s = c.slice();
     if (slices.get(s.shard(), s.job()) != s) {
+      // Its job was over before it was known that its first start was committed: the record counts.
+      dirty.remove(s);
+      takeIn(slices.load(s.key(), s.shard(), s.job(), jobs.active(s.job())));
       return;
     }
     s.recorded = true;
@@ -557,7 +615,7 @@
           if (s != null && membership.owned().contains(shard)) {
             reload(s);
           } else {
-            slices.load(part, shard, id, jobs.active(id));
+            takeIn(slices.load(part, shard, id, jobs.active(id)));
           }
         });
   }
@@ -565,7 +623,11 @@
   /** Reads a slice anew; what was only decided is dropped, ends that were seen are kept. */
   private void reload(Slice s) {
     dirty.remove(s);
-    Slice now = slices.load(s.key(), s.shard(), s.job(), jobs.active(s.job()));
+    takeIn(slices.load(s.key(), s.shard(), s.job(), jobs.active(s.job())));
+  }
+
+  /** Writes what a slice just read has to write: ends that were seen, or that its job is over. */
+  private void takeIn(Slice now) {
     if (now != null && membership.owned().contains(now.shard())) {
       boolean ended = now.out.values().stream().anyMatch(a -> a.closed);
       if (ended || (jobs.active(now.job()) == null && now.out.isEmpty())) {
--- a/src/test/java/gladeknot/app/MeetingsTest.java
+++ b/src/test/java/gladeknot/app/MeetingsTest.java
@@ -489,6 +489,58 @@
     assertEquals(List.of(), w.broken());
   }
 
+  /** A claim from a part that is full must not make it larger than the service takes. */
+  @Test
+  void claimsLeaveFullPartsAlone() {
+    World w = new World(3, 38, new World.Scale(30, 120_000, 300, 150, 1400));
+    w.taskMicros = 9 * SECOND;
+    w.run(3 * SECOND);
+    for (int i = 0; i < 60; i++) {
+      w.submit(i % 3, World.job("req-some" + i, "array", 7));
+      w.run(i % 10 == 0 ? 2 * SECOND : 100_000);
+    }
+    w.kill(0);
+    w.run(25 * SECOND);
+    w.start(0);
+    w.watch();
+    w.run(SECOND);
+    w.calm();
+    w.run(200 * SECOND);
+    assertEquals(0, w.state.tooLarge);
+    assertEquals(List.of(), w.broken());
+    for (String id : w.jobs()) {
+      assertEquals("done", w.phase(id), id);
+    }
+  }
+
+  /** Whenever a job is cancelled around its first start, nothing of it is left or written anew. */
+  @Test
+  void nothingIsLeftOfJobsCancelledAroundTheirFirstStart() {
+    World w = calmWorld(37);
+    w.stateDelay = 150_000;
+    for (int i = 0; i < 40; i++) {
+      String id = "req-early" + i;
+      w.submit(i % 3, World.job(id, "array", 4));
+      while (w.phase(id).isEmpty()) {
+        w.run(10_000);
+      }
+      w.run(i * 40_000L);
+      w.abort((i + 1) % 3, id);
+      w.run(300_000);
+    }
+    w.stateDelay = 0;
+    w.run(30 * SECOND);
+    int before = w.state.commits;
+    w.run(10 * SECOND);
+    assertTrue(w.state.commits - before < 10, (w.state.commits - before) + " commits in 10 s");
+    for (String key : w.state.keys("g/sl/")) {
+      for (String id : w.state.get(key).keySet()) {
+        assertEquals("req-web", id, key);
+      }
+    }
+    assertEquals(List.of(), w.broken());
+  }
+
   /** Much begins at once after an outage: transactions stay within what the service takes. */
   @Test
   void transactionsStayWithinTheirSizeAfterAnOutage() {
--- a/src/test/java/gladeknot/standin/World.java
+++ b/src/test/java/gladeknot/standin/World.java
@@ -30,7 +30,12 @@
   public static final long TEAM_CPUS = 24_000;
 
   /** How large a world is: its machines, the team's limit, what the state service takes. */
-  public record Scale(int machines, long teamCpus, double stateRps, double writeRps) {}
+  public record Scale(
+      int machines, long teamCpus, double stateRps, double writeRps, int valueBytes) {
+    public Scale(int machines, long teamCpus, double stateRps, double writeRps) {
+      this(machines, teamCpus, stateRps, writeRps, 8192);
+    }
+  }
 
   public static final Scale SMALL = new Scale(12, TEAM_CPUS, 300, 150);
 
@@ -140,6 +145,7 @@
   public World(int count, long seed, Scale scale) {
     random = new SplittableRandom(seed);
     this.scale = scale;
+    state.mostValueBytes = scale.valueBytes();
     this.count = count;
     cloud = new CloudStandIn(scale.machines(), 3 * SECOND);
     for (int i = 0; i < count; i++) {
@@ -171,7 +177,7 @@
             new Settings.Objective("deadline", "batch", 0, 0.9, 1),
             new Settings.Objective("deadline", "batch", 0, 0.95, 1.5)),
         new Settings.Workers(REPORT, LEASE, 30 * SECOND, 5 * SECOND, CANCEL),
-        new Settings.StateLimits(scale.stateRps(), scale.writeRps(), 8192, 16),
+        new Settings.StateLimits(scale.stateRps(), scale.writeRps(), scale.valueBytes(), 16),
         new Settings.CloudLimits(20, 3 * SECOND),
         500);
   }
