--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -73,8 +73,9 @@
               }
             });
     jobs = new JobRegistry(this::jobChanged);
-    slices = new SliceRegistry(membership.shards(), stateStore, workers);
-    recordWriter = new RecordWriter(settings, stateStore, membership, jobs, slices);
+    slices =
+        new SliceRegistry(membership.shards(), membership.format()::partSplit, stateStore, workers);
+    recordWriter = new RecordWriter(stateStore, membership, jobs, slices);
     scheduler =
         new Scheduler(
             settings, membership, jobs, slices, workers, recordWriter, outbox, this::cacheGb);
@@ -243,17 +244,31 @@
     }
   }
 
+  /**
+   * Takes in changes of the copy that came together: where each record lies, then jobs, since
+   * records are read by what is known of their jobs, then what the records and other keys say.
+   */
   @Override
-  public void changed(String key, StateStore.Entry before, StateStore.Entry now) {
-    if (key.startsWith(Job.KEYS)) {
-      jobs.changed(key, now);
-    } else if (key.startsWith(Slice.KEYS)) {
-      scheduler.recordChanged(key);
-    } else if (key.startsWith(Worker.KEYS)) {
-      workers.changed(key, before, now);
-      scheduler.touch();
-    } else {
-      scheduler.touch();
+  public void changed(List<StateStore.Change> changes) {
+    for (StateStore.Change change : changes) {
+      if (change.key().startsWith(Slice.KEYS)) {
+        slices.partChanged(change);
+      }
+    }
+    for (StateStore.Change change : changes) {
+      if (change.key().startsWith(Job.KEYS)) {
+        jobs.changed(change.key(), change.now());
+      }
+    }
+    for (StateStore.Change change : changes) {
+      if (change.key().startsWith(Slice.KEYS)) {
+        scheduler.recordChanged(change.key());
+      } else if (change.key().startsWith(Worker.KEYS)) {
+        workers.changed(change.key(), change.before(), change.now());
+        scheduler.touch();
+      } else if (!change.key().startsWith(Job.KEYS)) {
+        scheduler.touch();
+      }
     }
   }
 
--- a/src/main/java/gladeknot/jobs/JobRequestHandler.java
+++ b/src/main/java/gladeknot/jobs/JobRequestHandler.java
@@ -104,7 +104,8 @@
           Json.of("error", "cores, accelerators, memoryGb: a task fits no allowed type"));
       return;
     }
-    if (Json.bytes(Job.accepted(spec, 0, 0)).length + STAMPS_BYTES > mostValueBytes()) {
+    if (Json.bytes(Job.accepted(spec, 0, 0)).length + STAMPS_BYTES
+        > stateStore.limits().valueBytes()) {
       String longest = spec.waitsOn().isEmpty() ? "hosttypes" : "waitsOn";
       outbox.answer(request, 400, Json.of("error", longest + ": too long"));
       return;
@@ -143,11 +144,6 @@
     enqueue(new Pending(request, spec.id(), spec, false, nowMicros));
   }
 
-  /** The largest value that can be stored now and under the limits to come. */
-  private int mostValueBytes() {
-    return settings.stateLimits().valueBytes();
-  }
-
   private String refusal(JobSpec spec) {
     Settings.Team team = settings.teams().get(spec.team());
     if (team == null) {
@@ -265,8 +261,10 @@
     List<Pending> later = new ArrayList<>();
     int bytes = 0;
     // What there are tokens for goes now: a full batch must not wait for a full bucket.
-    int room = Math.min(settings.stateLimits().txnOps(), Math.max(1, stateStore.writesLeft(0)));
-    while (!queue.isEmpty() && writes.size() < room && bytes < 40_000) {
+    int room = Math.min(stateStore.limits().operations(), Math.max(1, stateStore.writesLeft(0)));
+    while (!queue.isEmpty()
+        && writes.size() < room
+        && bytes < stateStore.limits().transactionBytes()) {
       Pending p = queue.poll();
       String key = Job.key(p.id());
       if (conditions.containsKey(key)) {
--- /dev/null
+++ b/src/main/java/gladeknot/membership/ClusterFormat.java
@@ -0,0 +1,124 @@
+package gladeknot.membership;
+
+import gladeknot.http.Json;
+import gladeknot.settings.Settings;
+import gladeknot.state.StateStore;
+import gladeknot.state.StateStore.Write;
+import gladeknot.state.TransactionLimits;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The format in which records are stored, decided by all controllers together.
+ *
+ * <p>The first version writes no mark. Later ones announce their format with their liveness key.
+ * Once all members do, and each shard is owned by such a life of a member, one of them commits the
+ * mark, conditional on all those keys: from then on no process of the first version runs, and no
+ * transaction that one of them may have left on its way can still be carried out, since each is
+ * conditional on a shard's key that has changed since. Whoever writes slices does so on condition
+ * of the mark's stamp.
+ */
+public final class ClusterFormat {
+  private static final Logger LOG = LoggerFactory.getLogger(ClusterFormat.class);
+
+  /** The format that this version announces. */
+  static final int ANNOUNCED = 2;
+
+  static final String FIELD_FORMAT = "f";
+
+  private static final String KEY = StateStore.ROOT + "format";
+  private static final String FIELD_SPLIT = "split";
+  private static final long STEP_MICROS = 1_000_000;
+
+  private final Settings settings;
+  private final StateStore stateStore;
+  private final TransactionLimits limits;
+  private boolean writing;
+  private long nextMicros;
+
+  public ClusterFormat(Settings settings, StateStore stateStore, TransactionLimits limits) {
+    this.settings = settings;
+    this.stateStore = stateStore;
+    this.limits = limits;
+  }
+
+  public static String key() {
+    return KEY;
+  }
+
+  /** The stamp of the mark; 0 while there is none. */
+  public long stamp() {
+    return stateStore.stamp(KEY);
+  }
+
+  /** Whether all members are known to run this version or a later one. */
+  public boolean agreed() {
+    return stateStore.get(KEY) != null;
+  }
+
+  /** Into how many parts each of the first version's parts of a shard's record is split. */
+  public int partSplit() {
+    StateStore.Entry entry = stateStore.get(KEY);
+    return entry == null ? 1 : (int) Math.max(1, Json.num(entry.data(), FIELD_SPLIT, 1));
+  }
+
+  /** Commits the mark once it may be; the first member by name does. */
+  void tick(long nowMicros) {
+    if (agreed()) {
+      limits.allMembersCurrent();
+    }
+    boolean first = settings.nodes().get(0).equals(settings.node());
+    if (!first || writing || nowMicros < nextMicros || !wanted()) {
+      return;
+    }
+    nextMicros = nowMicros + STEP_MICROS;
+    Map<String, Long> conditions = allCurrent();
+    if (conditions == null || !stateStore.takeWrites(1, 0)) {
+      return;
+    }
+    conditions.put(KEY, stamp());
+    int split = limits.wantedPartSplit();
+    writing = true;
+    stateStore.commit(
+        conditions,
+        List.of(Write.put(KEY, Json.of(FIELD_FORMAT, ANNOUNCED, FIELD_SPLIT, split))),
+        outcome -> {
+          writing = false;
+          LOG.info("format {} with parts split by {}: {}", ANNOUNCED, split, outcome.result());
+        });
+  }
+
+  private boolean wanted() {
+    return !agreed() || partSplit() < limits.wantedPartSplit();
+  }
+
+  /** The stamps of all liveness and shard keys, if all are of this version; else null. */
+  private Map<String, Long> allCurrent() {
+    Map<String, Long> stamps = new LinkedHashMap<>();
+    List<String> nodes = settings.nodes();
+    for (String node : nodes) {
+      StateStore.Entry alive = stateStore.get(Membership.aliveKey(node));
+      if (alive == null || Json.num(alive.data(), FIELD_FORMAT, 1) < ANNOUNCED) {
+        return null;
+      }
+      stamps.put(Membership.aliveKey(node), alive.stamp());
+    }
+    for (int shard = 0; shard < nodes.size(); shard++) {
+      StateStore.Entry entry = stateStore.get(Membership.shardKey(shard));
+      String owner = entry == null ? null : Json.text(entry.data(), Membership.FIELD_OWNER);
+      StateStore.Entry alive = owner == null ? null : stateStore.get(Membership.aliveKey(owner));
+      if (alive == null || incarnation(entry) != incarnation(alive)) {
+        return null;
+      }
+      stamps.put(Membership.shardKey(shard), entry.stamp());
+    }
+    return stamps;
+  }
+
+  private static long incarnation(StateStore.Entry entry) {
+    return Json.num(entry.data(), Membership.FIELD_INCARNATION, 0);
+  }
+}
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -25,6 +25,12 @@
  */
 public final class Membership {
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+
+  /** Fields of a shard's and of a liveness key that others read too. */
+  static final String FIELD_OWNER = "owner";
+
+  static final String FIELD_INCARNATION = "inc";
+
   private static final String ALIVE = StateStore.ROOT + "alive/";
   private static final String SHARD = StateStore.ROOT + "shard/";
   private static final String CARE = StateStore.ROOT + "care/";
@@ -57,6 +63,7 @@
   private final StateStore stateStore;
   private final Listener listener;
   private final LeaseTimes times;
+  private final ClusterFormat format;
   private final long ttlMicros;
 
   private long grant;
@@ -87,6 +94,7 @@
     this.home = nodes.indexOf(settings.node());
     this.stateStore = stateStore;
     this.listener = listener;
+    this.format = new ClusterFormat(settings, stateStore, stateStore.limits());
     this.times = LeaseTimes.of(settings.workers(), policy.micros(Policy.Name.STATE_LEASE));
     this.ttlMicros = times.stateLeaseMicros();
     this.lapsedSince = new long[nodes.size()];
@@ -107,10 +115,19 @@
     return home;
   }
 
+  static String aliveKey(String node) {
+    return ALIVE + node;
+  }
+
   public static String shardKey(int shard) {
     return SHARD + shard;
   }
 
+  /** The format in which records are stored. */
+  public ClusterFormat format() {
+    return format;
+  }
+
   public LeaseTimes times() {
     return times;
   }
@@ -139,7 +156,7 @@
   /** Whether the liveness key is there under the present lease, as far as the copy tells. */
   private boolean announced() {
     StateStore.Entry entry = stateStore.get(ALIVE + settings.node());
-    return grant != 0 && entry != null && Json.num(entry.data(), "inc", 0) == grant;
+    return grant != 0 && entry != null && Json.num(entry.data(), FIELD_INCARNATION, 0) == grant;
   }
 
   /** Whether a shard is ours and this controller may act for it. */
@@ -175,7 +192,7 @@
   /** The owner of a shard, if its lease is seen to hold. */
   public String liveOwner(int shard) {
     StateStore.Entry entry = stateStore.get(shardKey(shard));
-    String owner = entry == null ? null : Json.text(entry.data(), "owner");
+    String owner = entry == null ? null : Json.text(entry.data(), FIELD_OWNER);
     return owner != null && stateStore.get(ALIVE + owner) != null ? owner : null;
   }
 
@@ -291,6 +308,9 @@
       stateStore.barrier(
           () -> {}, () -> nextBarrierMicros = Math.min(nextBarrierMicros, nowMicros + 700_000));
     }
+    if (alive) {
+      format.tick(now);
+    }
     if (alive && !moving && now >= nextMoveMicros) {
       nextMoveMicros = now + 50_000;
       move();
@@ -359,7 +379,9 @@
       return;
     }
     String key = ALIVE + settings.node();
-    Write write = new Write(key, Json.of("inc", with), with);
+    Map<String, Object> data =
+        Json.of(FIELD_INCARNATION, with, ClusterFormat.FIELD_FORMAT, ClusterFormat.ANNOUNCED);
+    Write write = new Write(key, data, with);
     stateStore.takeWrites(1, 0);
     stateStore.commit(
         Map.of(key, stateStore.stamp(key)),
@@ -401,9 +423,9 @@
   private void move() {
     for (int shard = 0; shard < nodes.size(); shard++) {
       StateStore.Entry entry = stateStore.get(shardKey(shard));
-      String owner = entry == null ? null : Json.text(entry.data(), "owner");
+      String owner = entry == null ? null : Json.text(entry.data(), FIELD_OWNER);
       boolean mine = settings.node().equals(owner);
-      boolean thisLife = mine && Json.num(entry.data(), "inc", 0) == grant;
+      boolean thisLife = mine && Json.num(entry.data(), FIELD_INCARNATION, 0) == grant;
       if (owned.contains(shard) && !thisLife) {
         drop(shard);
       }
@@ -429,7 +451,7 @@
               shard,
               entry,
               heir,
-              Json.num(heirAlive.data(), "inc", 0),
+              Json.num(heirAlive.data(), FIELD_INCARNATION, 0),
               Map.of(ALIVE + heir, heirAlive.stamp()))) {
             yielding.add(shard);
           }
@@ -476,7 +498,8 @@
     // A former life's or a lapsed life's write must not take anything: the lease must stand.
     conditions.put(ALIVE + settings.node(), stateStore.stamp(ALIVE + settings.node()));
     List<Write> writes = new ArrayList<>();
-    writes.add(Write.put(shardKey(shard), Json.of("owner", to, "inc", inc, "term", term)));
+    writes.add(
+        Write.put(shardKey(shard), Json.of(FIELD_OWNER, to, FIELD_INCARNATION, inc, "term", term)));
     writes.add(Write.put(TERM, Json.of("n", term)));
     moving = true;
     stateStore.commit(
@@ -523,8 +546,8 @@
   private boolean stillMine(int shard) {
     StateStore.Entry entry = stateStore.get(shardKey(shard));
     return entry != null
-        && settings.node().equals(Json.text(entry.data(), "owner"))
-        && Json.num(entry.data(), "inc", 0) == grant;
+        && settings.node().equals(Json.text(entry.data(), FIELD_OWNER))
+        && Json.num(entry.data(), FIELD_INCARNATION, 0) == grant;
   }
 
   private void gain(int shard) {
--- /dev/null
+++ b/src/main/java/gladeknot/placement/AttemptsCodec.java
@@ -0,0 +1,154 @@
+package gladeknot.placement;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+
+/**
+ * Writes a slice's attempts as text, in one of two forms.
+ *
+ * <p>The plain form, which every version reads, is {@code task:number:host}, parted by commas. The
+ * compact form is {@code ~PREFIX:WIDTH:DATA}: the hosts' common name up to its last digits, how
+ * many digits follow, and in Base64 for each attempt the differences of task, number and host from
+ * the attempt before it, as numbers of variable length.
+ */
+final class AttemptsCodec {
+  /** One attempt as it is stored. */
+  record Stored(int task, long number, String host) {}
+
+  private static final char COMPACT = '~';
+  private static final int BITS = 7;
+  private static final int MASK = (1 << BITS) - 1;
+
+  /** So many digits always fit a long. */
+  private static final int MOST_DIGITS = 18;
+
+  private AttemptsCodec() {}
+
+  static String plain(List<Stored> attempts) {
+    StringBuilder text = new StringBuilder();
+    for (Stored a : attempts) {
+      text.append(text.length() == 0 ? "" : ",").append(a.task()).append(':').append(a.number());
+      text.append(':').append(a.host());
+    }
+    return text.toString();
+  }
+
+  /** The compact form, or the plain one where that is shorter or the hosts' names are unlike. */
+  static String compact(List<Stored> attempts) {
+    String plain = plain(attempts);
+    if (attempts.isEmpty()) {
+      return plain;
+    }
+    String first = attempts.get(0).host();
+    int digits = digits(first);
+    String prefix = first.substring(0, first.length() - digits);
+    boolean alike =
+        digits > 0
+            && prefix.indexOf(':') < 0
+            && prefix.indexOf('|') < 0
+            && attempts.stream()
+                .map(Stored::host)
+                .allMatch(
+                    host ->
+                        host.length() == first.length()
+                            && host.startsWith(prefix)
+                            && digits(host) == digits);
+    if (!alike) {
+      return plain;
+    }
+    String compact = COMPACT + prefix + ":" + digits + ":" + data(attempts, prefix.length());
+    return compact.length() < plain.length() ? compact : plain;
+  }
+
+  private static String data(List<Stored> attempts, int prefixLength) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    long task = 0;
+    long number = 0;
+    long host = 0;
+    for (Stored a : attempts) {
+      long hostNumber = Long.parseLong(a.host().substring(prefixLength));
+      put(out, a.task() - task);
+      put(out, a.number() - number);
+      put(out, hostNumber - host);
+      task = a.task();
+      number = a.number();
+      host = hostNumber;
+    }
+    return Base64.getEncoder().withoutPadding().encodeToString(out.toByteArray());
+  }
+
+  static List<Stored> read(String text) {
+    if (text.isEmpty()) {
+      return List.of();
+    }
+    return text.charAt(0) == COMPACT ? readCompact(text) : readPlain(text);
+  }
+
+  private static List<Stored> readPlain(String text) {
+    List<Stored> attempts = new ArrayList<>();
+    for (String part : text.split(",")) {
+      String[] fields = part.split(":", 3);
+      attempts.add(new Stored(Integer.parseInt(fields[0]), Long.parseLong(fields[1]), fields[2]));
+    }
+    return attempts;
+  }
+
+  private static List<Stored> readCompact(String text) {
+    String[] fields = text.substring(1).split(":", 3);
+    String format = fields[0].replace("%", "%%") + "%0" + Integer.parseInt(fields[1]) + "d";
+    ByteArrayInputStream in = new ByteArrayInputStream(Base64.getDecoder().decode(fields[2]));
+    List<Stored> attempts = new ArrayList<>();
+    long task = 0;
+    long number = 0;
+    long host = 0;
+    while (in.available() > 0) {
+      task += take(in);
+      number += take(in);
+      host += take(in);
+      attempts.add(new Stored((int) task, number, String.format(format, host)));
+    }
+    return attempts;
+  }
+
+  /** How many digits a name ends with. */
+  private static int digits(String name) {
+    int count = 0;
+    while (count < Math.min(MOST_DIGITS, name.length())
+        && isDigit(name.charAt(name.length() - 1 - count))) {
+      count++;
+    }
+    return count;
+  }
+
+  private static boolean isDigit(char c) {
+    return c >= '0' && c <= '9';
+  }
+
+  /** Writes a number, small ones of either sign in few bytes. */
+  private static void put(ByteArrayOutputStream out, long value) {
+    long rest = (value << 1) ^ (value >> 63);
+    while ((rest & ~MASK) != 0) {
+      out.write((int) (rest & MASK) | (MASK + 1));
+      rest >>>= BITS;
+    }
+    out.write((int) rest);
+  }
+
+  private static long take(ByteArrayInputStream in) {
+    long value = 0;
+    int shift = 0;
+    int next;
+    do {
+      next = in.read();
+      if (next < 0) {
+        throw new IllegalArgumentException("attempts are cut short");
+      }
+      value |= (long) (next & MASK) << shift;
+      shift += BITS;
+    } while (next > MASK);
+    return (value >>> 1) ^ -(value & 1);
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/placement/PartMover.java
@@ -0,0 +1,62 @@
+package gladeknot.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Chooses which slices move next from a part of an earlier format to the parts where they belong.
+ *
+ * <p>What is left of a part must fit the largest value, so each step takes as many of its pieces as
+ * one transaction can, the largest first.
+ */
+final class PartMover {
+  /** One step: the slices of one part that move, and those that stay in it for now. */
+  record Step(String part, List<Slice> moving, List<Slice> staying) {}
+
+  private PartMover() {}
+
+  /**
+   * The next step for a shard's slices.
+   *
+   * @param operations how many keys a transaction may change
+   * @return null if no slice that is free to move is out of place
+   */
+  static Step next(Collection<Slice> slices, int operations) {
+    String part = null;
+    Map<String, List<Slice>> pieces = new LinkedHashMap<>();
+    for (Slice s : slices) {
+      boolean movable = s.misplaced() && s.claims.isEmpty();
+      if (movable && (part == null || part.equals(s.recordedKey))) {
+        part = s.recordedKey;
+        pieces.computeIfAbsent(s.wantedKey(), key -> new ArrayList<>()).add(s);
+      }
+    }
+    if (part == null) {
+      return null;
+    }
+    List<List<Slice>> bySize = new ArrayList<>(pieces.values());
+    bySize.sort(Comparator.comparingInt(PartMover::size).reversed());
+    List<Slice> moving = new ArrayList<>();
+    for (List<Slice> piece : bySize.subList(0, Math.min(operations - 1, bySize.size()))) {
+      moving.addAll(piece);
+    }
+    Set<Slice> moved = new HashSet<>(moving);
+    List<Slice> staying = new ArrayList<>();
+    for (Slice s : slices) {
+      if (part.equals(s.recordedKey) && !moved.contains(s)) {
+        staying.add(s);
+      }
+    }
+    return new Step(part, moving, staying);
+  }
+
+  private static int size(List<Slice> piece) {
+    return piece.stream().mapToInt(s -> s.record().length()).sum();
+  }
+}
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -58,11 +58,6 @@
   /** How long one shard after the other holds on to a budget that is too small for its gang. */
   private static final long TURN_MICROS = 10_000_000;
 
-  /** Room kept in a record for what else it holds. */
-  private static final int RECORD_OVERHEAD = 1000;
-
-  private static final int ATTEMPT_BYTES = 30;
-
   /** Names of machine types and what they are. */
   public interface Types {
     MachineType get(String name);
@@ -486,8 +481,7 @@
     for (Attempt a : s.out.values()) {
       undecided += a.committed ? 0 : 1;
     }
-    int used = RECORD_OVERHEAD + slices.bytes(s.key()) + ATTEMPT_BYTES * undecided;
-    return Math.max(0, (settings.stateLimits().valueBytes() - used) / ATTEMPT_BYTES);
+    return slices.attemptRoom(s, undecided);
   }
 
   /** Places what it can of a slice; returns how many tasks wait for room. */
--- a/src/main/java/gladeknot/placement/RecordWriter.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -2,11 +2,12 @@
 
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobRegistry;
+import gladeknot.membership.ClusterFormat;
 import gladeknot.membership.Membership;
-import gladeknot.settings.Settings;
 import gladeknot.state.StateStore;
 import gladeknot.state.StateStore.Outcome;
 import gladeknot.state.StateStore.Write;
+import gladeknot.state.TransactionLimits;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -32,21 +33,23 @@
  */
 public final class RecordWriter {
   private static final Logger LOG = LoggerFactory.getLogger(RecordWriter.class);
-  private static final int MAX_BYTES = 40_000;
   private static final long PAUSE_MICROS = 150_000;
 
   /** Ends wait so long for company; starts and what completes a slice don't. */
   private static final long END_WAIT_MICROS = 700_000;
 
+  /** Until records out of place are looked at again when they could not be moved. */
+  private static final long MOVE_AGAIN_MICROS = 500_000;
+
+  /** What a slice relies on besides its job and claims: part, shard, format, delegation. */
+  private static final int USUAL_CONDITIONS = 5;
+
   /** How long nothing is claimed from a slice whose part is full. */
   private static final long FULL_MICROS = 2_000_000;
 
   /** Write tokens that are left to submissions and aborts, as a share: users wait for those. */
   private static final double KEEP = 0.3;
 
-  /** The protocol's conditions for each change that a transaction may hold. */
-  private static final int CONDITIONS_A_CHANGE = 4;
-
   /** How small transactions become, one halving after the other, when one was refused as such. */
   private static final double LEAST_SHRUNK = 0.05;
 
@@ -64,6 +67,7 @@
   /** A slice as it went into a transaction, and the keys that it relied on. */
   private record SliceSnapshot(
       Slice slice,
+      String key,
       long version,
       BitSet done,
       List<Attempt> live,
@@ -92,8 +96,8 @@
     }
   }
 
-  private final Settings settings;
   private final StateStore stateStore;
+  private final TransactionLimits limits;
   private final Membership membership;
   private final JobRegistry jobs;
   private final SliceRegistry slices;
@@ -105,17 +109,14 @@
   private boolean claimsNext;
   private double shrunk = 1;
   private long nextMicros;
+  private long nextMoveMicros;
   private long nowMicros;
   private Runnable afterCommit = () -> {};
 
   public RecordWriter(
-      Settings settings,
-      StateStore stateStore,
-      Membership membership,
-      JobRegistry jobs,
-      SliceRegistry slices) {
-    this.settings = settings;
+      StateStore stateStore, Membership membership, JobRegistry jobs, SliceRegistry slices) {
     this.stateStore = stateStore;
+    this.limits = stateStore.limits();
     this.membership = membership;
     this.jobs = jobs;
     this.slices = slices;
@@ -161,6 +162,9 @@
     // A slice that was dropped with its job, before its first start was written, has nothing to
     // write.
     dirty.removeIf(s -> slices.get(s.shard(), s.job()) != s);
+    if (moveMisplaced()) {
+      return;
+    }
     if (dirty.isEmpty() && extras.isEmpty() && edits.isEmpty()) {
       return;
     }
@@ -179,13 +183,59 @@
     if (batch.operations() == 0) {
       return;
     }
-    if (!stateStore.takeWrites(batch.operations(), 0)) {
+    if (!send(batch)) {
       batch.extras.forEach(extras::addFirst);
       batch.edits.forEach(edits::addFirst);
-      return;
+    }
+  }
+
+  private boolean send(Batch batch) {
+    if (!stateStore.takeWrites(batch.operations(), 0)) {
+      return false;
     }
     inFlight = batch;
     stateStore.commit(batch.conditions, batch.writes(), this::finished);
+    return true;
+  }
+
+  /**
+   * Moves records that lie where an earlier format put them, a part at a time and before anything
+   * else: such a part may be larger than any value may be soon.
+   */
+  private boolean moveMisplaced() {
+    if (nowMicros < nextMoveMicros) {
+      return false;
+    }
+    for (int shard : membership.owned()) {
+      PartMover.Step step =
+          membership.commitsFor(shard) ? PartMover.next(slices.of(shard), mostOperations()) : null;
+      if (step != null) {
+        return move(step);
+      }
+    }
+    nextMoveMicros = nowMicros + MOVE_AGAIN_MICROS;
+    return false;
+  }
+
+  private boolean move(PartMover.Step step) {
+    Batch batch = new Batch();
+    for (Slice s : step.moving()) {
+      if (conditionsFit(s, batch)) {
+        gather(s, batch);
+      }
+    }
+    for (Slice s : step.staying()) {
+      // Written anew, and so in the shorter form; what it has besides its record goes later.
+      if (!dirty.contains(s)) {
+        put(batch, step.part(), s.job(), s.record());
+      }
+    }
+    dropTooLarge(batch);
+    boolean sent = !batch.slices.isEmpty() && send(batch);
+    if (!sent) {
+      nextMoveMicros = nowMicros + MOVE_AGAIN_MICROS;
+    }
+    return sent;
   }
 
   /**
@@ -193,7 +243,7 @@
    * nothing is sent again that was refused for its size.
    */
   private void dropTooLarge(Batch batch) {
-    int most = settings.stateLimits().valueBytes();
+    int most = limits.valueBytes();
     for (String key : List.copyOf(batch.packed.keySet())) {
       Map<String, Object> data = batch.packed.get(key);
       if (data == null || !key.startsWith(Slice.KEYS) || SliceRegistry.bytes(data) + 2 <= most) {
@@ -222,7 +272,7 @@
   }
 
   private int mostOperations() {
-    return Math.max(2, (int) (settings.stateLimits().txnOps() * shrunk));
+    return Math.max(2, (int) (limits.operations() * shrunk));
   }
 
   /**
@@ -230,12 +280,12 @@
    * own part and shard, its job, other slices of it that decide on zones, parts it claims from.
    */
   private boolean conditionsFit(Slice s, Batch batch) {
-    int more = 4 + s.claims.size();
+    int more = USUAL_CONDITIONS + s.claims.size() + (s.misplaced() ? 1 : 0);
     Job job = jobs.active(s.job());
     if (job != null && s.starts() && (job.spec().scatter() || job.spec().together())) {
       more += slices.of(s.job()).size();
     }
-    int most = CONDITIONS_A_CHANGE * mostOperations();
+    int most = limits.conditions(mostOperations());
     return batch.slices.isEmpty() || batch.conditions.size() + more <= most;
   }
 
@@ -250,23 +300,21 @@
       return batch;
     }
     gatherOthers(batch, Math.max(1, room / 2));
-    Set<String> parts = new LinkedHashSet<>();
+    Set<String> chosen = new HashSet<>();
     for (Slice s : dirty) {
       if (s.claims.isEmpty() && membership.commitsFor(s.shard()) && due(s)) {
-        parts.add(s.key());
-      }
-    }
-    Set<String> chosen = new HashSet<>();
-    for (String part : parts) {
-      if (batch.operations() + chosen.size() < room) {
-        chosen.add(part);
+        Set<String> more = new HashSet<>(chosen);
+        more.addAll(partsOf(s));
+        if (batch.operations() + more.size() <= room) {
+          chosen = more;
+        }
       }
     }
     if (!chosen.isEmpty()) {
       for (Slice s : List.copyOf(dirty)) {
         if (s.claims.isEmpty()
-            && chosen.contains(s.key())
-            && batch.bytes < MAX_BYTES
+            && chosen.containsAll(partsOf(s))
+            && batch.bytes < limits.transactionBytes()
             && conditionsFit(s, batch)) {
           gather(s, batch);
         }
@@ -296,9 +344,11 @@
         continue;
       }
       Set<String> keys = new HashSet<>(batch.packed.keySet());
-      keys.add(s.key());
+      keys.addAll(partsOf(s));
       s.claims.keySet().forEach(from -> keys.add(from.key()));
-      if (keys.size() > room || batch.bytes > MAX_BYTES || !conditionsFit(s, batch)) {
+      if (keys.size() > room
+          || batch.bytes > limits.transactionBytes()
+          || !conditionsFit(s, batch)) {
         wanting = true;
         continue;
       }
@@ -424,6 +474,11 @@
     return left;
   }
 
+  /** The parts that a slice's next commit changes: two if its record moves. */
+  private static Set<String> partsOf(Slice s) {
+    return s.misplaced() ? Set.of(s.recordedKey, s.wantedKey()) : Set.of(s.wantedKey());
+  }
+
   private void gather(Slice s, Batch batch) {
     Job job = jobs.active(s.job());
     if (job == null) {
@@ -441,11 +496,12 @@
     }
     // Nothing of a job that is over is on a machine any more: its record goes.
     String record = job == null && live.isEmpty() ? null : s.record();
-    Map<String, Object> data = batch.packed.get(s.key());
+    String key = s.wantedKey();
+    Map<String, Object> data = batch.packed.get(key);
     int size =
-        (data == null ? slices.bytes(s.key()) : SliceRegistry.bytes(data))
+        (data == null ? slices.bytes(key) : SliceRegistry.bytes(data))
             + (record == null ? 0 : record.length() + s.job().length() + SliceRegistry.FIELD_BYTES);
-    if (s.starts() && size > settings.stateLimits().valueBytes()) {
+    if (s.starts() && size > limits.valueBytes()) {
       // The part is full: its tasks wait until others have ended, or are claimed.
       reload(s);
       s.restUntilMicros = nowMicros + END_WAIT_MICROS;
@@ -459,16 +515,20 @@
       int bytes = there == null ? slices.bytes(from.key()) : SliceRegistry.bytes(there);
       String left = from.record(without(from.assigned, claim.getValue()));
       int more = left.length() + from.job().length() + SliceRegistry.FIELD_BYTES;
-      if (bytes + more > settings.stateLimits().valueBytes()) {
+      if (bytes + more > limits.valueBytes()) {
         reload(s);
         from.restUntilMicros = nowMicros + FULL_MICROS;
         return;
       }
     }
-    Set<String> keys = new HashSet<>();
-    keys.add(s.key());
+    Set<String> keys = new HashSet<>(partsOf(s));
     keys.add(Membership.shardKey(s.shard()));
-    put(batch, s.key(), s.job(), record);
+    if (s.misplaced()) {
+      put(batch, s.recordedKey, s.job(), null);
+    }
+    put(batch, key, s.job(), record);
+    // A writer that knows an earlier format would look for the record, or make it, elsewhere.
+    batch.conditions.put(ClusterFormat.key(), membership.format().stamp());
     shardCondition(s.shard(), batch);
     for (Attempt a : closed) {
       if (a.lapsed) {
@@ -499,7 +559,7 @@
     }
     batch.slices.add(
         new SliceSnapshot(
-            s, s.version, (BitSet) s.done.clone(), live, closed, Map.copyOf(s.claims), keys));
+            s, key, s.version, (BitSet) s.done.clone(), live, closed, Map.copyOf(s.claims), keys));
   }
 
   private void finished(Outcome outcome) {
@@ -579,10 +639,10 @@
     if (slices.get(s.shard(), s.job()) != s) {
       // Its job was over before it was known that its first start was committed: the record counts.
       dirty.remove(s);
-      takeIn(slices.load(s.key(), s.shard(), s.job(), jobs.active(s.job())));
+      takeIn(slices.load(s.shard(), s.job(), jobs.active(s.job())));
       return;
     }
-    s.recorded = true;
+    s.recordedKey = c.key();
     s.savedDone = c.done();
     for (Attempt a : c.live()) {
       if (!a.committed) {
@@ -595,7 +655,7 @@
         .forEach(
             (from, tasks) -> {
               s.claims.remove(from);
-              slices.load(from.key(), from.shard(), from.job(), jobs.active(from.job()));
+              slices.load(from.shard(), from.job(), jobs.active(from.job()));
             });
     if (s.version == c.version()) {
       dirty.remove(s);
@@ -603,7 +663,7 @@
     }
     if (!slices.data(s.key()).containsKey(s.job())) {
       dirty.remove(s);
-      slices.load(s.key(), s.shard(), s.job(), jobs.active(s.job()));
+      slices.load(s.shard(), s.job(), jobs.active(s.job()));
     }
   }
 
@@ -620,7 +680,7 @@
           if (s != null && membership.owned().contains(shard)) {
             reload(s);
           } else {
-            takeIn(slices.load(part, shard, id, jobs.active(id)));
+            takeIn(slices.load(shard, id, jobs.active(id)));
           }
         });
   }
@@ -628,7 +688,7 @@
   /** Reads a slice anew; what was only decided is dropped, ends that were seen are kept. */
   private void reload(Slice s) {
     dirty.remove(s);
-    takeIn(slices.load(s.key(), s.shard(), s.job(), jobs.active(s.job())));
+    takeIn(slices.load(s.shard(), s.job(), jobs.active(s.job())));
   }
 
   /** Writes what a slice just read has to write: ends that were seen, or that its job is over. */
@@ -659,7 +719,7 @@
   public void lost(int shard) {
     dirty.removeIf(s -> s.shard() == shard);
     for (Slice s : List.copyOf(slices.of(shard))) {
-      slices.load(s.key(), shard, s.job(), jobs.active(s.job()));
+      slices.load(shard, s.job(), jobs.active(s.job()));
     }
   }
 }
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -18,20 +18,11 @@
 public final class Slice {
   public static final String KEYS = StateStore.ROOT + "sl/";
 
-  /**
-   * A shard's record is cut into parts, each with many slices: few enough that one write serves
-   * many starts and ends, enough of them that a full shard stays below the largest value. Gangs and
-   * services, which change seldom, lie apart from arrays: starts of spread jobs are conditional on
-   * them.
-   */
-  private static final int ARRAY_PARTS = 4;
-
-  private static final int WHOLE_PARTS = 2;
-
   /** Stands for all tasks in a record: slices that are done outnumber the others. */
   private static final String ALL = "*";
 
-  private final String key;
+  private final RecordLayout layout;
+  private final boolean whole;
   private final int shard;
   private final String job;
   private final int shards;
@@ -49,8 +40,8 @@
 
   long counter;
 
-  /** Whether the state store has a record of it. */
-  boolean recorded;
+  /** The part that holds its record; null if the state store has none. */
+  String recordedKey;
 
   /** Tasks that are done by its record. */
   BitSet savedDone = new BitSet();
@@ -76,8 +67,9 @@
   /** When its first task that could start began to wait; 0 if none waits. */
   long waitingSinceMicros;
 
-  Slice(String key, int shard, int shards, String job) {
-    this.key = key;
+  Slice(RecordLayout layout, boolean whole, int shard, int shards, String job) {
+    this.layout = layout;
+    this.whole = whole;
     this.shard = shard;
     this.shards = shards;
     this.job = job;
@@ -115,18 +107,24 @@
     return savedDone;
   }
 
-  /** The part of its shard's record that it lies in. */
+  /** The part of its shard's record that it lies in, or will with its first record. */
   public String key() {
-    return key;
+    return recorded() ? recordedKey : wantedKey();
+  }
+
+  /** The part that it belongs into by the cluster's format. */
+  String wantedKey() {
+    return layout.key(shard, whole, job);
   }
 
-  static String key(int shard, JobSpec spec) {
-    int hash = spec.id().hashCode();
-    String part =
-        spec.whole()
-            ? "w" + Math.floorMod(hash, WHOLE_PARTS)
-            : "a" + Math.floorMod(hash, ARRAY_PARTS);
-    return prefix(shard) + part;
+  /** Whether its record lies where it belongs by an earlier format. */
+  boolean misplaced() {
+    return recorded() && !recordedKey.equals(wantedKey());
+  }
+
+  /** Whether the state store has a record of it. */
+  boolean recorded() {
+    return recordedKey != null;
   }
 
   static String prefix(int shard) {
@@ -169,14 +167,12 @@
     assigned.or(share(from.spec(), from.home(), shard, shards));
     done.clear();
     savedDone = new BitSet();
-    recorded = false;
   }
 
   /** Sets it to its record; the attempts are returned, for the caller to take in. */
   List<Attempt> read(String record, long nowMicros) {
     todo = -1;
     String[] f = record.split("\\|", -1);
-    recorded = true;
     team = f[0];
     cpus = Long.parseLong(f[1]);
     gpus = Long.parseLong(f[2]);
@@ -188,23 +184,13 @@
     done.or(f[6].equals(ALL) ? assigned : Ranges.parse(f[6]));
     savedDone = (BitSet) done.clone();
     List<Attempt> attempts = new ArrayList<>();
-    if (!f[7].isEmpty()) {
-      for (String part : f[7].split(",")) {
-        int first = part.indexOf(':');
-        int second = part.indexOf(':', first + 1);
-        Attempt a =
-            new Attempt(
-                this,
-                Integer.parseInt(part.substring(0, first)),
-                Long.parseLong(part.substring(first + 1, second)),
-                part.substring(second + 1),
-                nowMicros);
-        a.committed = true;
-        // Whether its run was sent is not recorded: it may have been.
-        a.sent = true;
-        a.rebuilt = true;
-        attempts.add(a);
-      }
+    for (AttemptsCodec.Stored stored : AttemptsCodec.read(f[7])) {
+      Attempt a = new Attempt(this, stored.task(), stored.number(), stored.host(), nowMicros);
+      a.committed = true;
+      // Whether its run was sent is not recorded: it may have been.
+      a.sent = true;
+      a.rebuilt = true;
+      attempts.add(a);
     }
     return attempts;
   }
@@ -221,15 +207,15 @@
     text.append(memory).append('|').append(counter).append('|');
     text.append(Ranges.text(tasks)).append('|');
     text.append(done.equals(tasks) ? ALL : Ranges.text(done)).append('|');
-    boolean first = true;
+    List<AttemptsCodec.Stored> live = new ArrayList<>();
     for (Attempt a : out.values()) {
       if (!a.closed) {
-        text.append(first ? "" : ",").append(a.task()).append(':').append(a.number());
-        text.append(':').append(a.host());
-        first = false;
+        live.add(new AttemptsCodec.Stored(a.task(), a.number(), a.host()));
       }
     }
-    return text.toString();
+    boolean compact = layout.compact();
+    return text.append(compact ? AttemptsCodec.compact(live) : AttemptsCodec.plain(live))
+        .toString();
   }
 
   /** A number that no attempt of the job had, in any shard. */
--- a/src/main/java/gladeknot/placement/SliceRegistry.java
+++ b/src/main/java/gladeknot/placement/SliceRegistry.java
@@ -10,13 +10,25 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntSupplier;
 
 /** All slices of jobs that go on or still have tasks on machines. */
 public final class SliceRegistry {
   /** Quotes, colon and comma of a field. */
   static final int FIELD_BYTES = 6;
 
+  /** What one more attempt takes at most, mostly, in either form of a record. */
+  private static final int PLAIN_ATTEMPT_BYTES = 30;
+
+  private static final int COMPACT_ATTEMPT_BYTES = 9;
+
+  /** Room kept in a part for what else it comes to hold: bytes, and one such share of the part. */
+  private static final int MOST_OVERHEAD = 1000;
+
+  private static final int OVERHEAD_SHARE = 4;
+
   private final int shards;
+  private final RecordLayout layout;
   private final StateStore stateStore;
   private final WorkerRegistry workers;
   private final List<Map<String, Slice>> byShard = new ArrayList<>();
@@ -30,12 +42,18 @@
 
   private long nowMicros;
 
-  public SliceRegistry(int shards, StateStore stateStore, WorkerRegistry workers) {
+  /** Which part holds a job's record, by shard and job. */
+  private final List<Map<String, String>> recordKeys = new ArrayList<>();
+
+  public SliceRegistry(
+      int shards, IntSupplier partSplit, StateStore stateStore, WorkerRegistry workers) {
     this.shards = shards;
+    this.layout = new RecordLayout(partSplit);
     this.stateStore = stateStore;
     this.workers = workers;
     for (int i = 0; i < shards; i++) {
       byShard.add(new HashMap<>());
+      recordKeys.add(new HashMap<>());
     }
   }
 
@@ -93,9 +111,9 @@
       Slice s = get(shard, id);
       if (job != null && job.active()) {
         if (s == null && !Slice.share(job.spec(), job.home(), shard, shards).isEmpty()) {
-          load(Slice.key(shard, job.spec()), shard, id, job);
+          load(shard, id, job);
         }
-      } else if (s != null && !s.recorded) {
+      } else if (s != null && !s.recorded()) {
         drop(s);
       }
     }
@@ -106,6 +124,20 @@
     void changed(String key, int shard, String id);
   }
 
+  /** Takes in which records a part holds, before any of them is read. */
+  public void partChanged(StateStore.Change change) {
+    String key = change.key();
+    Map<String, String> keys = recordKeys.get(Slice.shardOf(key));
+    Map<String, Object> before = change.before() == null ? Map.of() : change.before().data();
+    Map<String, Object> now = change.now() == null ? Map.of() : change.now().data();
+    for (String id : before.keySet()) {
+      if (!now.containsKey(id)) {
+        keys.remove(id, key);
+      }
+    }
+    now.keySet().forEach(id -> keys.put(id, key));
+  }
+
   /** Looks for slices whose records in a part differ from what was seen of it last. */
   void sync(String key, Changed changed) {
     Map<String, Object> before = seen.getOrDefault(key, Map.of());
@@ -141,6 +173,15 @@
     return entry == null ? Map.of() : entry.data();
   }
 
+  /** How many more attempts the part that a slice belongs into has room for. */
+  int attemptRoom(Slice s, int undecided) {
+    int most = stateStore.limits().valueBytes();
+    int each = layout.compact() ? COMPACT_ATTEMPT_BYTES : PLAIN_ATTEMPT_BYTES;
+    int overhead = Math.min(MOST_OVERHEAD, most / OVERHEAD_SHARE);
+    int used = overhead + bytes(s.wantedKey()) + each * undecided;
+    return Math.max(0, (most - used) / each);
+  }
+
   /** About how many bytes a part takes. */
   int bytes(String key) {
     Map<String, Object> data = data(key);
@@ -161,9 +202,10 @@
   }
 
   /** Reads a slice anew from the copy, keeping what is known of attempts that are still in it. */
-  Slice load(String key, int shard, String id, Job job) {
+  Slice load(int shard, String id, Job job) {
     Slice s = get(shard, id);
-    String record = (String) data(key).get(id);
+    String key = recordKeys.get(shard).get(id);
+    String record = key == null ? null : (String) data(key).get(id);
     boolean active = job != null && job.active();
     if (record == null
         && (!active || Slice.share(job.spec(), job.home(), shard, shards).isEmpty())) {
@@ -173,7 +215,8 @@
       return null;
     }
     if (s == null) {
-      s = new Slice(key, shard, shards, id);
+      boolean whole = record == null ? job.spec().whole() : RecordLayout.isWhole(key);
+      s = new Slice(layout, whole, shard, shards, id);
       byShard.get(shard).put(id, s);
     }
     Map<Integer, Attempt> before = new HashMap<>(s.out);
@@ -183,6 +226,7 @@
     s.claims.clear();
     s.version++;
     s.dirtySinceMicros = 0;
+    s.recordedKey = record == null ? null : key;
     if (record == null) {
       s.reset(job);
       return s;
@@ -205,14 +249,14 @@
 
   /** An empty slice, to take claimed tasks. */
   Slice create(int shard, Job job) {
-    Slice s = new Slice(Slice.key(shard, job.spec()), shard, shards, job.id());
+    Slice s = new Slice(layout, job.spec().whole(), shard, shards, job.id());
     s.usage(job.spec());
     byShard.get(shard).put(job.id(), s);
     return s;
   }
 
   void discardIfEmpty(Slice s) {
-    if (!s.recorded && s.assigned.isEmpty() && s.out.isEmpty()) {
+    if (!s.recorded() && s.assigned.isEmpty() && s.out.isEmpty()) {
       byShard.get(s.shard()).remove(s.job(), s);
     }
   }
--- a/src/main/java/gladeknot/settings/Settings.java
+++ b/src/main/java/gladeknot/settings/Settings.java
@@ -18,6 +18,7 @@
     List<Objective> objectives,
     Workers workers,
     StateLimits stateLimits,
+    StateLimits nextStateLimits,
     CloudLimits cloudLimits,
     int maxConnections) {
 
@@ -40,7 +41,16 @@
       long cancelMicros) {}
 
   /** What the state service takes. */
-  public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {}
+  public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {
+    /** The smaller of each of two limits. */
+    public StateLimits smaller(StateLimits other) {
+      return new StateLimits(
+          Math.min(rps, other.rps),
+          Math.min(writeRps, other.writeRps),
+          Math.min(valueBytes, other.valueBytes),
+          Math.min(txnOps, other.txnOps));
+    }
+  }
 
   /** What the cloud takes. */
   public record CloudLimits(double rps, long listLagMicros) {}
--- a/src/main/java/gladeknot/settings/SettingsReader.java
+++ b/src/main/java/gladeknot/settings/SettingsReader.java
@@ -14,6 +14,8 @@
 
 /** Reads the platform's file, collecting every fault with the name of its field. */
 public final class SettingsReader {
+  private static final double BYTES_A_KIB = 1024;
+
   private final List<String> faults = new ArrayList<>();
 
   /** The settings, or the faults that keep them from being used. */
@@ -94,6 +96,7 @@
     if (faults.isEmpty() && workers.cancelMicros() < workers.leaseMicros() + 4_000_000) {
       faults.add("cluster.workers.cancel_s: must be at least 4 s above lease_s");
     }
+    Settings.StateLimits present = stateLimits(s, "cluster.state.");
     return new Settings(
         node,
         Json.text(root, "domain"),
@@ -107,16 +110,36 @@
         Map.copyOf(teams),
         List.copyOf(objectives),
         workers,
-        new Settings.StateLimits(
-            positive(s, "cluster.state.", "rps"),
-            positive(s, "cluster.state.", "write_rps"),
-            (int) (positive(s, "cluster.state.", "value_kb") * 1024),
-            (int) positive(s, "cluster.state.", "txn_ops")),
+        present,
+        nextStateLimits(s, present),
         new Settings.CloudLimits(
             positive(c, "cluster.cloud.", "rps"), (long) (Json.real(c, "list_lag_s", 0) * 1e6)),
         (int) Json.num(m, "max_connections", 1000));
   }
 
+  private Settings.StateLimits stateLimits(Map<String, Object> from, String at) {
+    return new Settings.StateLimits(
+        positive(from, at, "rps"),
+        positive(from, at, "write_rps"),
+        (int) (positive(from, at, "value_kb") * BYTES_A_KIB),
+        (int) positive(from, at, "txn_ops"));
+  }
+
+  /** The limits to come; what is not named stays as it is. */
+  private Settings.StateLimits nextStateLimits(
+      Map<String, Object> state, Settings.StateLimits present) {
+    if (!state.containsKey("next")) {
+      return present;
+    }
+    Map<String, Object> next = new LinkedHashMap<>();
+    next.put("rps", present.rps());
+    next.put("write_rps", present.writeRps());
+    next.put("value_kb", present.valueBytes() / BYTES_A_KIB);
+    next.put("txn_ops", present.txnOps());
+    next.putAll(table(state, "cluster.state.", "next"));
+    return stateLimits(next, "cluster.state.next.");
+  }
+
   private Map<String, Object> table(Map<String, Object> from, String at, String name) {
     if (!(from.get(name) instanceof Map)) {
       faults.add(at + name + ": missing table");
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -30,6 +30,7 @@
   private static final long FOLLOW_GAP_MICROS = 110_000;
   private static final long BARRIER_GAP_MICROS = 300_000;
   private static final long BARRIER_WAIT_MICROS = 1_500_000;
+  private static final String NO_SUCH_LEASE = "no such lease";
   private static final int PAGE = 400;
   private static final double WRITE_SHARE = 2.0;
 
@@ -62,9 +63,13 @@
   /** A transaction's end; for a conflict with the keys that had changed. */
   public record Outcome(Result result, long epoch, List<String> failed) {}
 
+  /** A change of one key in the copy; without a new entry the key is gone. */
+  public record Change(String key, Entry before, Entry now) {}
+
   /** Hears of every change of the copy. */
   public interface Listener {
-    void changed(String key, Entry before, Entry now);
+    /** The copy holds all of these changes already, which came together. */
+    void changed(List<Change> changes);
   }
 
   private static final class Barrier {
@@ -85,6 +90,9 @@
   private final Outbox outbox;
   private final Listener listener;
   private final RandomGenerator random;
+  private final TransactionLimits limits;
+  private final double writeShare;
+  private double writesPerSecond;
   private final TokenBucket requests;
   private final TokenBucket writes;
   private final TreeMap<String, Entry> view = new TreeMap<>();
@@ -114,11 +122,19 @@
     double rps = settings.stateLimits().rps() * part;
     // Writes come in bursts at one controller or the other: each may use more than an even part,
     // and gives way when the service says that all together were too many.
-    double writeRps = settings.stateLimits().writeRps() * Math.min(0.92, part * WRITE_SHARE);
+    limits = new TransactionLimits(settings);
+    writeShare = Math.min(0.92, part * WRITE_SHARE);
+    writesPerSecond = limits.writesPerSecond();
+    double writeRps = writesPerSecond * writeShare;
     this.requests = new TokenBucket(rps, rps);
     this.writes = new TokenBucket(writeRps, writeRps);
   }
 
+  /** What transactions and values may hold. */
+  public TransactionLimits limits() {
+    return limits;
+  }
+
   public boolean loaded() {
     return loaded;
   }
@@ -162,6 +178,10 @@
   /** Lets time pass. */
   public void tick(long now) {
     nowMicros = now;
+    if (writesPerSecond != limits.writesPerSecond()) {
+      writesPerSecond = limits.writesPerSecond();
+      writes.rate(writesPerSecond * writeShare, now);
+    }
     if (!loaded && !loading && now >= retryMicros) {
       loading = true;
       page = new TreeMap<>();
@@ -254,17 +274,19 @@
     epoch = Math.max(epoch, pageEpoch);
     TreeMap<String, Entry> read = page;
     page = null;
+    List<Change> changes = new ArrayList<>();
     for (String key : gone) {
       if (view.get(key).stamp() <= pageEpoch) {
-        set(key, null);
+        set(key, null, changes);
       }
     }
     read.forEach(
         (key, entry) -> {
           if (entry.stamp() > stamp(key)) {
-            set(key, entry);
+            set(key, entry, changes);
           }
         });
+    listener.changed(changes);
     LOG.info("state read at epoch {}: {} keys", epoch, view.size());
     reachedEpoch();
   }
@@ -292,9 +314,11 @@
             return;
           }
           Map<String, Object> body = reply.object();
+          List<Change> changes = new ArrayList<>();
           for (Map<String, Object> event : Json.objects(body, "events")) {
-            apply(event);
+            apply(event, changes);
           }
+          listener.changed(changes);
           epoch = Math.max(epoch, Json.num(body, "epoch", epoch));
           deletedAt.values().removeIf(at -> at <= epoch);
           // Every change of every controller ends a watch: asked again at once, watches alone would
@@ -304,20 +328,20 @@
         });
   }
 
-  private void apply(Map<String, Object> event) {
+  private void apply(Map<String, Object> event, List<Change> changes) {
     long stamp = Json.num(event, "stamp", 0);
     String written = Json.text(event, "write");
     String key = written != null ? written : Json.text(event, "delete");
     if (key == null || stamp <= stamp(key) || stamp <= deletedAt.getOrDefault(key, 0L)) {
       return;
     }
-    set(key, written == null ? null : new Entry(Json.map(event.get("data")), stamp));
+    set(key, written == null ? null : new Entry(Json.map(event.get("data")), stamp), changes);
   }
 
-  private void set(String key, Entry now) {
+  private void set(String key, Entry now, List<Change> changes) {
     Entry before = now == null ? view.remove(key) : view.put(key, now);
     if (before != null || now != null) {
-      listener.changed(key, before, now);
+      changes.add(new Change(key, before, now));
     }
   }
 
@@ -427,16 +451,18 @@
     long at = Json.num(body, "epoch", -1);
     switch (reply.status()) {
       case 200 -> {
+        List<Change> applied = new ArrayList<>();
         for (Write w : changes) {
           if (at > stamp(w.key()) && at > deletedAt.getOrDefault(w.key(), 0L)) {
             if (w.data() == null) {
               deletedAt.put(w.key(), at);
-              set(w.key(), null);
+              set(w.key(), null, applied);
             } else {
-              set(w.key(), new Entry(w.data(), at));
+              set(w.key(), new Entry(w.data(), at), applied);
             }
           }
         }
+        listener.changed(applied);
         return new Outcome(Result.DONE, at, List.of());
       }
       case 409 -> {
@@ -447,6 +473,9 @@
       }
       case 400 -> {
         LOG.error("transaction refused as malformed: {}: {}", body.get("error"), sizes(changes));
+        if (!NO_SUCH_LEASE.equals(body.get("error"))) {
+          limits.refusedForSize();
+        }
         return new Outcome(Result.BAD, -1, List.of());
       }
       default -> {
--- a/src/main/java/gladeknot/state/TokenBucket.java
+++ b/src/main/java/gladeknot/state/TokenBucket.java
@@ -2,8 +2,8 @@
 
 /** A bucket of tokens, filled at a steady rate up to one second's worth (or a given burst). */
 public final class TokenBucket {
-  private final double ratePerMicro;
-  private final double burst;
+  private double ratePerMicro;
+  private double burst;
   private double level;
   private long lastMicros;
 
@@ -13,6 +13,14 @@
     this.level = burst;
   }
 
+  /** Changes the rate, and with it the burst of one second's worth. */
+  void rate(double perSecond, long nowMicros) {
+    refill(nowMicros);
+    ratePerMicro = perSecond / 1e6;
+    burst = perSecond;
+    level = Math.min(level, burst);
+  }
+
   public double burst() {
     return burst;
   }
--- a/src/test/java/gladeknot/placement/SliceTest.java
+++ b/src/test/java/gladeknot/placement/SliceTest.java
@@ -7,20 +7,26 @@
 import gladeknot.standin.SimulatedCluster;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 
 /** What a slice's record keeps, and how little room it takes. */
 class SliceTest {
+  private static final RecordLayout LAYOUT = new RecordLayout(() -> 1);
+
   private static Slice slice(int tasks) throws JobSpec.MalformedJobException {
     JobSpec spec = JobSpec.parse(SimulatedCluster.job("req-1", "array", tasks));
-    Slice s = new Slice(Slice.key(1, spec), 1, 3, "req-1");
+    Slice s = new Slice(LAYOUT, false, 1, 3, "req-1");
     s.usage(spec);
     s.assigned.set(0, tasks);
     return s;
   }
 
   private static Slice again(String record) {
-    Slice s = new Slice("g/sl/1/a0", 1, 3, "req-1");
+    Slice s = new Slice(LAYOUT, false, 1, 3, "req-1");
     for (Attempt a : s.read(record, 0)) {
       s.out.put(a.task(), a);
     }
@@ -56,6 +62,30 @@
     assertEquals(s.assigned, again(s.record()).done);
   }
 
+  /** Slices of one old part go to as many new ones as the mark says, and to no others. */
+  @Test
+  void aSplitPartsPiecesAreItsOwn() {
+    RecordLayout split = new RecordLayout(() -> 4);
+    Map<String, Set<String>> pieces = new TreeMap<>();
+    for (int i = 0; i < 1000; i++) {
+      String job = "req-" + (100_000 + 37 * i);
+      for (boolean whole : List.of(true, false)) {
+        String piece = split.key(2, whole, job);
+        pieces.computeIfAbsent(LAYOUT.key(2, whole, job), k -> new TreeSet<>()).add(piece);
+        assertEquals(whole, RecordLayout.isWhole(piece));
+      }
+    }
+    assertEquals(
+        Set.of("g/sl/2/a0", "g/sl/2/a1", "g/sl/2/a2", "g/sl/2/a3", "g/sl/2/w0", "g/sl/2/w1"),
+        pieces.keySet());
+    assertEquals(
+        Set.of("g/sl/2/a16-1", "g/sl/2/a16-5", "g/sl/2/a16-9", "g/sl/2/a16-13"),
+        pieces.get("g/sl/2/a1"));
+    assertEquals(
+        Set.of("g/sl/2/w8-0", "g/sl/2/w8-2", "g/sl/2/w8-4", "g/sl/2/w8-6"),
+        pieces.get("g/sl/2/w0"));
+  }
+
   @Test
   void aClaimLeavesTheRest() throws JobSpec.MalformedJobException {
     Slice s = slice(10);
--- a/src/test/java/gladeknot/placement/UrgencyTest.java
+++ b/src/test/java/gladeknot/placement/UrgencyTest.java
@@ -106,6 +106,7 @@
         objectives,
         s.workers(),
         s.stateLimits(),
+        s.nextStateLimits(),
         s.cloudLimits(),
         s.maxConnections());
   }
@@ -113,8 +114,8 @@
   private static List<String> order(Case c, Settings settings) {
     JobRegistry jobs = new JobRegistry((before, now) -> {});
     StateStore stateStore =
-        new StateStore(settings, new Outbox(), new SplittableRandom(1), (key, before, now) -> {});
-    SliceRegistry slices = new SliceRegistry(1, stateStore, new WorkerRegistry());
+        new StateStore(settings, new Outbox(), new SplittableRandom(1), changes -> {});
+    SliceRegistry slices = new SliceRegistry(1, () -> 1, stateStore, new WorkerRegistry());
     for (Wanted w : c.jobs()) {
       Map<String, Object> spec = SimulatedCluster.job(w.id(), "array", w.tasks());
       spec.put("dueS", w.dueS());
--- a/src/test/java/gladeknot/policy/TestSettings.java
+++ b/src/test/java/gladeknot/policy/TestSettings.java
@@ -20,6 +20,7 @@
           List.of(),
           new Settings.Workers(2_000_000, 14_000_000, 1, 1, 39_000_000),
           new Settings.StateLimits(1, 1, 1, 1),
+          new Settings.StateLimits(1, 1, 1, 1),
           new Settings.CloudLimits(1, 1),
           1);
 
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -31,12 +31,24 @@
 
   /** How large a world is: its machines, the team's limit, what the state service takes. */
   public record Scale(
-      int machines, long teamCpus, double stateRps, double writeRps, int valueBytes) {
+      int machines,
+      long teamCpus,
+      double stateRps,
+      double writeRps,
+      int valueBytes,
+      int nextValueBytes,
+      int nextOperations) {
+    public Scale(int machines, long teamCpus, double stateRps, double writeRps, int valueBytes) {
+      this(machines, teamCpus, stateRps, writeRps, valueBytes, valueBytes, OPERATIONS);
+    }
+
     public Scale(int machines, long teamCpus, double stateRps, double writeRps) {
       this(machines, teamCpus, stateRps, writeRps, 8192);
     }
   }
 
+  private static final int OPERATIONS = 16;
+
   public static final Scale SMALL = new Scale(12, TEAM_CPUS, 300, 150);
 
   private record Event(long at, long order, Runnable run) {}
@@ -50,6 +62,7 @@
     boolean cutFromPeers;
     boolean refused;
     boolean watchHangs;
+    boolean appearsOld;
     long life;
     final Map<Long, java.util.function.Consumer<Outbox.Answer>> asked = new HashMap<>();
     long nextRequest = 1;
@@ -178,7 +191,10 @@
             new Settings.Objective("deadline", "batch", 0, 0.9, 1),
             new Settings.Objective("deadline", "batch", 0, 0.95, 1.5)),
         new Settings.Workers(REPORT, LEASE, 30 * SECOND, 5 * SECOND, CANCEL),
-        new Settings.StateLimits(scale.stateRps(), scale.writeRps(), scale.valueBytes(), 16),
+        new Settings.StateLimits(
+            scale.stateRps(), scale.writeRps(), scale.valueBytes(), OPERATIONS),
+        new Settings.StateLimits(
+            scale.stateRps(), scale.writeRps(), scale.nextValueBytes(), scale.nextOperations()),
         new Settings.CloudLimits(20, 3 * SECOND),
         500);
   }
@@ -197,6 +213,17 @@
     nodes.get(i).life++;
   }
 
+  /** The state service has its lower limits from now on. */
+  public void lowerLimits() {
+    state.mostValueBytes = scale.nextValueBytes();
+    state.mostChanges = scale.nextOperations();
+  }
+
+  /** Lets the others take a controller for one of the first version, or not any more. */
+  public void appearsOld(int i, boolean old) {
+    nodes.get(i).appearsOld = old;
+  }
+
   public void pause(int i, boolean paused) {
     nodes.get(i).paused = paused;
   }
@@ -508,9 +535,31 @@
     }
   }
 
+  /** A transaction as a controller's version would send it; what others can't read is noted. */
+  private byte[] checked(int i, byte[] body) throws IOException {
+    Map<String, Object> transaction = Json.object(body);
+    for (Map<String, Object> write : Json.objects(transaction, "writes")) {
+      String key = Json.text(write, "write");
+      if (key == null) {
+        continue;
+      }
+      if (nodes.get(i).appearsOld && key.startsWith("g/alive/")) {
+        Json.map(write.get("data")).remove("f");
+      }
+      boolean agreed = state.get("g/format") != null;
+      if (!agreed && !FirstVersionRecords.reads(key, Json.map(write.get("data")))) {
+        broken.add("unreadable for the first version: " + key);
+      }
+    }
+    return Json.bytes(transaction);
+  }
+
   private StateStandIn.Answer serve(int i, Outbox.Call call) {
     try {
       if (call.address().startsWith("state")) {
+        if (call.path().equals("/commit")) {
+          return state.serve(call.method(), call.path(), checked(i, call.body()));
+        }
         return outage
             ? new StateStandIn.Answer(503, Json.of())
             : state.serve(call.method(), call.path(), call.body());
