--- a/src/test/java/gladeknot/app/UpgradeTest.java
+++ b/src/test/java/gladeknot/app/UpgradeTest.java
@@ -25,14 +25,16 @@
  */
 class UpgradeTest {
   private static final int NODES = 3;
-  private static final int NEXT_VALUE_BYTES = 1024;
+  private static final int SERVICES = 8;
+  private static final int REPLICAS = 9;
+  private static final int NEXT_VALUE_BYTES = 640;
   private static final int NEXT_OPERATIONS = 4;
 
   /** Transactions that may be refused while the limits fall unseen. */
   private static final int MOST_REFUSED = 6;
 
   private static final Scale SCALE =
-      new Scale(40, 150_000, 300, 150, 4096, NEXT_VALUE_BYTES, NEXT_OPERATIONS);
+      new Scale(180, 700_000, 300, 150, 4 * NEXT_VALUE_BYTES, NEXT_VALUE_BYTES, NEXT_OPERATIONS);
 
   private record Case(String name, Consumer<SimulatedCluster> upgrade) {}
 
@@ -154,13 +156,14 @@
     }
     w.watch();
     w.run(4 * SECOND);
-    for (int i = 0; i < 4; i++) {
-      w.submit(i % NODES, job("req-web-" + i, "service", 9));
+    w.taskMicros = 60 * SECOND;
+    for (int i = 0; i < SERVICES; i++) {
+      w.submit(i % NODES, job("req-web-" + i, "service", REPLICAS));
     }
-    for (int i = 0; i < 12; i++) {
-      w.submit(i % NODES, job("req-old-" + i, "array", 18));
+    for (int i = 0; i < 50; i++) {
+      w.submit(i % NODES, job("req-old-" + i, "array", 12));
     }
-    w.run(20 * SECOND);
+    w.run(30 * SECOND);
     // Parts that will have to be split, or the rows would show little.
     assertTrue(
         w.state.keys("g/sl/").stream()
@@ -173,6 +176,7 @@
     assertNull(w.state.get("g/format"));
     c.upgrade().accept(w);
     w.run(10 * SECOND);
+    w.taskMicros = 6 * SECOND;
     w.submit(0, job("req-first", "array", 60));
     w.submit(1, job("req-web-new", "service", 5));
     w.run(2 * SECOND);
@@ -184,7 +188,7 @@
     for (String id : w.jobs()) {
       assertEquals(id.startsWith("req-web") ? "running" : "done", w.phase(id), id);
     }
-    assertEquals(4 * 9 + 5, w.tasksOnMachines());
+    assertEquals(SERVICES * REPLICAS + 5, w.tasksOnMachines());
     for (String key : w.state.keys("g/")) {
       int bytes = Json.bytes(w.state.get(key)).length;
       assertTrue(bytes <= NEXT_VALUE_BYTES, key + " has " + bytes);
