Jobs are ordered by the rank and deadline of the pipelines that wait for them; waits count from readiness

The order and what protects tasks from being stopped go by the inherited rank; what may be stopped for a job goes by its own.

--- a/src/main/java/gladeknot/fleet/Demand.java
+++ b/src/main/java/gladeknot/fleet/Demand.java
@@ -18,9 +18,9 @@
 
   private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
 
-  /** Notes a job, by the time of its submission. */
+  /** Notes a job, by the time from which its waits count. */
   void came(Job job) {
-    arrivals.add(new Arrival(job.submittedMicros(), job.spec()));
+    arrivals.add(new Arrival(job.readyMicros(), job.spec()));
     if (arrivals.size() > MOST) {
       arrivals.poll();
     }
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -393,7 +393,7 @@
 
   /** Notes a job that has come. */
   public void came(Job job) {
-    if (wallMicros - job.submittedMicros() < policy.micros(Policy.Name.WINDOW)) {
+    if (wallMicros - job.readyMicros() < policy.micros(Policy.Name.WINDOW)) {
       demand.came(job);
     }
   }
@@ -499,12 +499,28 @@
     if (spec.shape() == JobSpec.Shape.SERVICE) {
       return nowMicros + policy.micros(Policy.Name.REPLICA_WAIT);
     }
+    return nowMicros + Math.min(waitLeft(job), pipelineLeft(job, run, at));
+  }
+
+  /** How long a job's tasks may still wait by its class's aim, or by the policy. */
+  private long waitLeft(Job job) {
     for (Settings.Objective o : settings.objectives()) {
-      if (o.kind().equals("wait") && spec.jobClass().equals(o.jobClass())) {
-        return nowMicros + Math.max(0, o.withinMicros() - age);
+      if (o.kind().equals("wait") && job.spec().jobClass().equals(o.jobClass())) {
+        return Math.max(0, o.withinMicros() - Math.max(0, wallMicros - job.readyMicros()));
       }
     }
-    return nowMicros + policy.micros(Policy.Name.PATIENCE);
+    return policy.micros(Policy.Name.PATIENCE);
+  }
+
+  /** How long a job's tasks may still wait for its pipeline to be in time, if it can be. */
+  private long pipelineLeft(Job job, long run, long at) {
+    long latestEnd = placer.latestEndMicros(job);
+    long left = latestEnd - wallMicros - run;
+    long soonest = offers.soonest(job.spec());
+    if (left < 0 || (left < soonest && nowMicros + left < at)) {
+      return Long.MAX_VALUE / 4;
+    }
+    return Math.max((long) (left * policy.number(Policy.Name.HASTE)), Math.min(left, soonest));
   }
 
   private Offers.Offer choose(
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -93,7 +93,13 @@
     private static final int TIER = 2;
 
     private Waiting(
-        Slice slice, Job job, boolean foreign, boolean starved, boolean guaranteed, long key) {
+        Slice slice,
+        Job job,
+        JobSpec.Rank rank,
+        boolean foreign,
+        boolean starved,
+        boolean guaranteed,
+        long key) {
       this(
           slice,
           job,
@@ -101,13 +107,18 @@
           starved,
           guaranteed,
           key,
-          job.spec().rank().ordinal() * RANK
+          rank.ordinal() * RANK
               + (starved ? 0 : NOT_STARVED)
               + (guaranteed ? 0 : NOT_GUARANTEED)
               + Urgency.tier(key) * TIER
               + (foreign ? 1 : 0));
     }
 
+    /** The same for a slice of ours that takes its tasks over. */
+    private Waiting of(Slice own) {
+      return new Waiting(own, job, false, starved, guaranteed, key, order);
+    }
+
     private static int inOrder(Waiting a, Waiting b) {
       return a.order != b.order ? Integer.compare(a.order, b.order) : byKey(a, b);
     }
@@ -116,8 +127,8 @@
       if (a.key != b.key) {
         return Long.compare(a.key, b.key);
       }
-      long first = a.job.submittedMicros();
-      long second = b.job.submittedMicros();
+      long first = a.job.readyMicros();
+      long second = b.job.readyMicros();
       return first != second ? Long.compare(first, second) : a.job.id().compareTo(b.job.id());
     }
 
@@ -193,7 +204,6 @@
     this.scheduler = scheduler;
     this.types = types;
     this.zonesOffered = zonesOffered;
-    this.preemption = new Preemption(settings, policy, jobs, slices);
     long within = Long.MAX_VALUE / 4;
     for (Settings.Objective o : settings.objectives()) {
       if (o.kind().equals("guarantee")) {
@@ -202,6 +212,7 @@
     }
     this.guaranteeMicros = within;
     this.urgency = new Urgency(settings, policy, jobs, slices, scheduler.estimates());
+    this.preemption = new Preemption(settings, policy, jobs, slices, urgency::rank);
   }
 
   /** What waits in all shards. */
@@ -270,6 +281,11 @@
     return scheduler.estimates();
   }
 
+  /** By when a job has to end for its pipeline to be in time, by the time of day. */
+  public long latestEndMicros(Job job) {
+    return urgency.latestEndMicros(job);
+  }
+
   /** When an attempt is likely to end. */
   public long endsMicros(Attempt a) {
     Job job = jobs.active(a.slice().job());
@@ -380,7 +396,7 @@
   /** A running task's rank; what belongs to a job that is over is as good as gone. */
   public JobSpec.Rank rank(Attempt a) {
     Job job = jobs.active(a.slice().job());
-    return job == null ? JobSpec.Rank.IDLE : job.spec().rank();
+    return job == null ? JobSpec.Rank.IDLE : urgency.rank(job);
   }
 
   private Waiting waiting(Slice s, Job job, boolean foreign) {
@@ -388,13 +404,13 @@
     // one
     // task is enough for that: all of it would make the rest late as well.
     boolean starved =
-        wallMicros - job.submittedMicros() > starveMicros && (job.spec().whole() || !begun(job));
+        wallMicros - job.readyMicros() > starveMicros && (job.spec().whole() || !begun(job));
     // A guarantee is for work that has just come: what has waited for longer than that is meant to
     // has missed it, and would now only keep others from their deadlines.
     boolean guaranteed =
         preemption.guaranteed(job.id())
-            && wallMicros - job.submittedMicros() < guaranteeMicros + GUARANTEE_MARGIN_MICROS;
-    return new Waiting(s, job, foreign, starved, guaranteed, urgency.key(job));
+            && wallMicros - job.readyMicros() < guaranteeMicros + GUARANTEE_MARGIN_MICROS;
+    return new Waiting(s, job, urgency.rank(job), foreign, starved, guaranteed, urgency.key(job));
   }
 
   /** How many tasks of a job with a deadline could be at work at once, by CPUs. */
@@ -740,7 +756,7 @@
       task = from.nextTodo(task + 1);
     }
     own.assign(tasks);
-    place(new Waiting(own, w.job(), false, w.starved(), w.guaranteed(), w.key()), rooms, shard);
+    place(w.of(own), rooms, shard);
     for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
       if (!own.out.containsKey(t)) {
         tasks.clear(t);
--- a/src/main/java/gladeknot/placement/Preemption.java
+++ b/src/main/java/gladeknot/placement/Preemption.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * Which tasks may be stopped for another: those of lower priority, and what another team runs
@@ -32,6 +33,7 @@
   private final Policy policy;
   private final JobRegistry jobs;
   private final SliceRegistry slices;
+  private final Function<Job, JobSpec.Rank> rankOf;
 
   /** CPUs and GPUs by team over all shards, worked out anew for each pass. */
   private final Map<String, long[]> used = new HashMap<>();
@@ -41,7 +43,17 @@
   private long seenChanges = -1;
   private long nextGuaranteedMicros;
 
-  Preemption(Settings settings, Policy policy, JobRegistry jobs, SliceRegistry slices) {
+  /**
+   * A job keeps what it has by the rank that {@code rankOf} says, which may come from a job that
+   * waits for it; others are stopped for it by its own rank alone.
+   */
+  Preemption(
+      Settings settings,
+      Policy policy,
+      JobRegistry jobs,
+      SliceRegistry slices,
+      Function<Job, JobSpec.Rank> rankOf) {
+    this.rankOf = rankOf;
     this.settings = settings;
     this.policy = policy;
     this.jobs = jobs;
@@ -121,7 +133,7 @@
     if (job == null || a.closed || a.killed() || !a.committed) {
       return false;
     }
-    if (job.spec().rank().ordinal() > spec.rank().ordinal()) {
+    if (rankOf.apply(job).ordinal() > spec.rank().ordinal()) {
       return true;
     }
     return equalRanks
--- a/src/main/java/gladeknot/placement/Urgency.java
+++ b/src/main/java/gladeknot/placement/Urgency.java
@@ -48,9 +48,11 @@
   private final Map<String, List<Settings.Objective>> others = new HashMap<>();
 
   private final Policy policy;
+  private final InheritedUrgency inherited;
   private final Map<String, Long> keys = new HashMap<>();
   private long nextMicros;
   private long seenChanges = -1;
+  private long seenWallMicros;
 
   Urgency(
       Settings settings,
@@ -62,6 +64,7 @@
     this.jobs = jobs;
     this.slices = slices;
     this.estimates = estimates;
+    this.inherited = new InheritedUrgency(jobs, estimates);
     Set<Double> all = new HashSet<>();
     for (Settings.Objective o : settings.objectives()) {
       if (o.kind().equals("deadline")) {
@@ -77,12 +80,31 @@
   /** The order of a job among those of its rank; lower goes first. */
   long key(Job job) {
     if (job.spec().dueMicros() == 0) {
-      return LATE_KEY - 1;
+      return inheritedKey(job);
     }
     Long key = keys.get(job.id());
     return key == null ? job.submittedMicros() + job.spec().dueMicros() : key;
   }
 
+  /** A job without a deadline goes by that of its pipeline, as long as it can be met. */
+  private long inheritedKey(Job job) {
+    long latest = inherited.latestEndMicros(job);
+    boolean inTime =
+        latest < InheritedUrgency.NEVER
+            && seenWallMicros + START_MICROS + estimates.runMicros(job.spec()) <= latest;
+    return inTime ? latest : LATE_KEY - 1;
+  }
+
+  /** A job's rank, or that of the most urgent job that waits for it. */
+  JobSpec.Rank rank(Job job) {
+    return inherited.rank(job);
+  }
+
+  /** By when a job has to end for its pipeline to be in time; see {@link InheritedUrgency}. */
+  long latestEndMicros(Job job) {
+    return inherited.latestEndMicros(job);
+  }
+
   /** Which of its deadlines a job with such a key can be in time for. */
   static int tier(long key) {
     return (int) Math.min(key / TIER, 8);
@@ -111,6 +133,8 @@
     }
     nextMicros = nowMicros + AGAIN_MICROS;
     seenChanges = jobs.changes();
+    seenWallMicros = wallMicros;
+    inherited.refresh();
     keys.clear();
     List<Job> open = new ArrayList<>();
     int slots = 0;
@@ -160,13 +184,13 @@
     for (Settings.Objective o : others.getOrDefault(job.spec().jobClass(), List.of())) {
       long within = o.withinMicros() - START_MICROS;
       long start = o.kind().equals("wait") ? within : within - run - TOLD_MICROS;
-      if (job.submittedMicros() + start >= wall) {
+      if (job.readyMicros() + start >= wall) {
         next = Math.min(next, start);
       }
     }
     double early = policy.number(Policy.Name.LAST_CALL);
-    boolean near = next < Long.MAX_VALUE && wall - job.submittedMicros() >= next * (1 - early);
-    return near ? job.submittedMicros() + next + run : 0;
+    boolean near = next < Long.MAX_VALUE && wall - job.readyMicros() >= next * (1 - early);
+    return near ? job.readyMicros() + next + run : 0;
   }
 
   private long takeIn(
