--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -47,6 +47,7 @@
   private final Fleet fleet;
   private final String nodeName;
 
+  /** Wires the parts of a controller; nothing happens before the first {@link #tick}. */
   public Core(Settings settings, Policy policy, RandomGenerator random) {
     policy.settings(settings);
     nodeName = settings.node();
--- a/src/main/java/gladeknot/app/Main.java
+++ b/src/main/java/gladeknot/app/Main.java
@@ -21,6 +21,7 @@
 
   private Main() {}
 
+  /** Runs the command line and exits with its code. */
   public static void main(String[] args) {
     setUpLogging(System.getenv("LOG_LEVEL"));
     int code = run(args);
--- a/src/main/java/gladeknot/app/Service.java
+++ b/src/main/java/gladeknot/app/Service.java
@@ -30,6 +30,7 @@
   private final PeerLinks peers;
   private boolean draining;
 
+  /** Prepares a controller; it begins to serve when it is started. */
   public Service(Settings settings, Policy policy) {
     this.settings = settings;
     long seed = settings.node().hashCode() * 31L + System.nanoTime();
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -116,6 +116,7 @@
   private long nowMicros;
   private long wallMicros;
 
+  /** A fleet without known types: these are asked for first. */
   public Fleet(
       Settings settings,
       Policy policy,
@@ -158,6 +159,7 @@
     return offers.fitsSome(spec);
   }
 
+  /** Lets time pass, in microseconds of the steady clock and of the time of day. */
   public void tick(long now, long wall) {
     nowMicros = now;
     wallMicros = wall;
@@ -322,11 +324,13 @@
       Map<String, Integer> inZone = new HashMap<>();
       boolean anywhere = !spec.scatter() && !spec.together();
       int first = anywhere ? capacity.put(spec, tasks, new HashMap<>()) : 0;
-      for (int i = first; i < tasks && i < MOST_FORECAST; i++) {
+      int i = first;
+      while (i < tasks && i < MOST_FORECAST) {
         if (i % Math.max(1, spec.tasks()) == 0) {
           inZone.clear();
         }
         if (!anywhere && capacity.put(spec, inZone)) {
+          i++;
           continue;
         }
         Offers.Offer offer =
@@ -341,7 +345,7 @@
         if (in == 0) {
           break;
         }
-        i += in - 1;
+        i += in;
       }
     }
     for (Capacity.Box box : capacity.boxes()) {
--- a/src/main/java/gladeknot/http/HttpCaller.java
+++ b/src/main/java/gladeknot/http/HttpCaller.java
@@ -52,6 +52,7 @@
   /** All idle connections with their addresses, the one idle for longest first. */
   private final LinkedHashMap<Channel, String> idleSince = new LinkedHashMap<>();
 
+  /** A caller whose answers go to the handler, on a thread of the group. */
   public HttpCaller(EventLoopGroup group, Handler handler) {
     this.group = group;
     this.handler = handler;
--- a/src/main/java/gladeknot/http/HttpServer.java
+++ b/src/main/java/gladeknot/http/HttpServer.java
@@ -51,6 +51,7 @@
   private final LinkedHashMap<Channel, Boolean> channels = new LinkedHashMap<>(64, 0.75f, true);
   private long nextId = 1;
 
+  /** A server for at most so many connections; requests go to the handler. */
   public HttpServer(Handler handler, int maxConnections) {
     this.handler = handler;
     this.maxConnections = maxConnections;
--- a/src/main/java/gladeknot/http/Json.java
+++ b/src/main/java/gladeknot/http/Json.java
@@ -28,6 +28,7 @@
     throw new IOException("not a JSON object");
   }
 
+  /** Writes a value as JSON text in UTF-8. */
   public static byte[] bytes(Object value) {
     try {
       return JR.asBytes(value);
@@ -76,6 +77,7 @@
         (List<?>) list.stream().filter(Map.class::isInstance).toList();
   }
 
+  /** The list of texts under a name; anything else in it is left out. */
   public static List<String> texts(Map<String, Object> map, String name) {
     if (!(map.get(name) instanceof List<?> list)) {
       return List.of();
--- a/src/main/java/gladeknot/http/Outbox.java
+++ b/src/main/java/gladeknot/http/Outbox.java
@@ -20,6 +20,7 @@
 
   /** What came back; status 0 says that nothing did, and the call may have been carried out. */
   public record Reply(int status, byte[] body) {
+    /** The body as a JSON object; empty if it is none. */
     public Map<String, Object> object() {
       try {
         return Json.object(body);
@@ -40,6 +41,7 @@
   private final Map<Long, ReplyHandler> waiting = new HashMap<>();
   private long nextId = 1;
 
+  /** Adds a call; the handler gets its reply, with status 0 if none came in time. */
   public void call(
       String address, String method, String path, Object body, long timeoutMicros, ReplyHandler h) {
     long id = nextId++;
@@ -57,6 +59,7 @@
     answers.add(new Answer(request, status, Json.bytes(Json.of("error", why)), retryAfterS));
   }
 
+  /** Hands a reply to the handler of its call; a second one is ignored. */
   public void reply(long callId, Reply reply) {
     ReplyHandler handler = waiting.remove(callId);
     if (handler != null) {
@@ -64,6 +67,7 @@
     }
   }
 
+  /** The calls added since the last time, each returned once. */
   public List<Call> takeCalls() {
     List<Call> taken = List.copyOf(calls);
     calls.clear();
@@ -75,12 +79,14 @@
     messages.add(message);
   }
 
+  /** The messages to other controllers, each returned once. */
   public List<PeerMessage> takeMessages() {
     List<PeerMessage> taken = List.copyOf(messages);
     messages.clear();
     return taken;
   }
 
+  /** The answers to requests, each returned once. */
   public List<Answer> takeAnswers() {
     List<Answer> taken = List.copyOf(answers);
     answers.clear();
--- a/src/main/java/gladeknot/jobs/JobRequestHandler.java
+++ b/src/main/java/gladeknot/jobs/JobRequestHandler.java
@@ -55,6 +55,7 @@
   private long nowMicros;
   private long wallMicros;
 
+  /** A handler that answers through the outbox. */
   public JobRequestHandler(
       Settings settings,
       StateStore stateStore,
@@ -241,6 +242,7 @@
         () -> outbox.comeBack(request, 503, "the state service does not answer", 1));
   }
 
+  /** Refuses what has waited for too long, and commits what can be. */
   public void tick(long now, long wall) {
     nowMicros = now;
     wallMicros = wall;
--- a/src/main/java/gladeknot/jobs/JobSpec.java
+++ b/src/main/java/gladeknot/jobs/JobSpec.java
@@ -84,6 +84,7 @@
         && (!together || counts.isEmpty() || counts.containsKey(inZone));
   }
 
+  /** Whether its tasks may be on a machine of a type, in a zone, spot or not. */
   public boolean allows(String type, String inZone, boolean isSpot) {
     return (types == null || types.contains(type))
         && (zone == null || zone.equals(inZone))
--- a/src/main/java/gladeknot/membership/ClusterFormat.java
+++ b/src/main/java/gladeknot/membership/ClusterFormat.java
@@ -39,6 +39,7 @@
   private boolean writing;
   private long nextMicros;
 
+  /** The format as the copy shows it; without a mark it is the first version's. */
   public ClusterFormat(Settings settings, StateStore stateStore, TransactionLimits limits) {
     this.settings = settings;
     this.stateStore = stateStore;
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -88,6 +88,7 @@
   private boolean moving;
   private long nextMoveMicros;
 
+  /** A member that has no lease and owns no shard yet. */
   public Membership(Settings settings, Policy policy, StateStore stateStore, Listener listener) {
     this.settings = settings;
     this.nodes = settings.nodes();
@@ -285,6 +286,7 @@
     unclear(shard);
   }
 
+  /** Renews the lease, reads, and moves shards one step, each when it is time. */
   public void tick(long now) {
     nowMicros = now;
     if (!stateStore.loaded()) {
--- a/src/main/java/gladeknot/peer/PeerLinks.java
+++ b/src/main/java/gladeknot/peer/PeerLinks.java
@@ -39,6 +39,7 @@
   private final Map<String, Channel> channels = new HashMap<>();
   private final Map<String, ChannelFuture> connecting = new HashMap<>();
 
+  /** Links to all other controllers; what they send goes to the handler. */
   public PeerLinks(Settings settings, EventLoopGroup group, Consumer<PeerMessage> handler) {
     this.settings = settings;
     this.group = group;
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -181,6 +181,7 @@
   private long nowMicros;
   private long wallMicros;
 
+  /** A matcher of tasks and machines that has decided nothing yet. */
   public Placer(
       Settings settings,
       Policy policy,
@@ -308,6 +309,7 @@
         .toList();
   }
 
+  /** Makes a pass if it is time and something has changed. */
   public void tick(long now, long wall) {
     nowMicros = now;
     wallMicros = wall;
--- a/src/main/java/gladeknot/placement/RecordWriter.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -113,6 +113,7 @@
   private long nowMicros;
   private Runnable afterCommit = () -> {};
 
+  /** A writer with nothing to write. */
   public RecordWriter(
       StateStore stateStore, Membership membership, JobRegistry jobs, SliceRegistry slices) {
     this.stateStore = stateStore;
@@ -149,6 +150,7 @@
     return inFlight != null && inFlight.packed.containsKey(slice.key());
   }
 
+  /** Sends the next transaction if there is one to send. */
   public void tick(long now) {
     nowMicros = now;
     flush();
@@ -716,6 +718,7 @@
     }
   }
 
+  /** A shard has ceased to be ours: its slices are what their records say. */
   public void lost(int shard) {
     dirty.removeIf(s -> s.shard() == shard);
     for (Slice s : List.copyOf(slices.of(shard))) {
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -51,6 +51,7 @@
     double cacheGb(String type);
   }
 
+  /** A scheduler that knows of no attempts yet. */
   public Scheduler(
       Settings settings,
       Membership membership,
@@ -89,6 +90,7 @@
     changed = true;
   }
 
+  /** Repeats kills, finds lapsed leases and jobs that are complete, each when it is time. */
   public void tick(long now, long wall) {
     nowMicros = now;
     wallMicros = wall;
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -248,6 +248,7 @@
     return -1;
   }
 
+  /** How many of its tasks are neither done nor handed out. */
   public int todoCount() {
     // Asked for at every look at what waits, in all shards.
     if (todo < 0) {
--- a/src/main/java/gladeknot/placement/SliceRegistry.java
+++ b/src/main/java/gladeknot/placement/SliceRegistry.java
@@ -45,6 +45,7 @@
   /** Which part holds a job's record, by shard and job. */
   private final List<Map<String, String>> recordKeys = new ArrayList<>();
 
+  /** A registry without slices; {@code partSplit} is asked each time, see {@link RecordLayout}. */
   public SliceRegistry(
       int shards, IntSupplier partSplit, StateStore stateStore, WorkerRegistry workers) {
     this.shards = shards;
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -113,6 +113,7 @@
   private final List<Map.Entry<Long, Runnable>> atEpoch = new ArrayList<>();
   private long nowMicros;
 
+  /** A client that has read nothing yet. */
   public StateStore(Settings settings, Outbox outbox, RandomGenerator random, Listener listener) {
     this.address = settings.state();
     this.outbox = outbox;
@@ -152,6 +153,7 @@
     return view.get(key);
   }
 
+  /** The stamp of a key in the copy; 0 if there is no such key. */
   public long stamp(String key) {
     Entry entry = view.get(key);
     return entry == null ? 0 : entry.stamp();
--- a/src/main/java/gladeknot/state/TokenBucket.java
+++ b/src/main/java/gladeknot/state/TokenBucket.java
@@ -7,6 +7,7 @@
   private double level;
   private long lastMicros;
 
+  /** A full bucket. */
   public TokenBucket(double perSecond, double burst) {
     this.ratePerMicro = perSecond / 1e6;
     this.burst = burst;
--- a/src/main/java/gladeknot/state/TransactionLimits.java
+++ b/src/main/java/gladeknot/state/TransactionLimits.java
@@ -23,6 +23,7 @@
   private final Settings.StateLimits smaller;
   private boolean lowered;
 
+  /** The limits as the settings name them; the present ones are in force. */
   public TransactionLimits(Settings settings) {
     present = settings.stateLimits();
     smaller = present.smaller(settings.nextStateLimits());
--- a/src/main/java/gladeknot/teams/Budgets.java
+++ b/src/main/java/gladeknot/teams/Budgets.java
@@ -80,6 +80,7 @@
   private long nextMicros;
   private long nowMicros;
 
+  /** Budgets as the copy shows them. */
   public Budgets(
       Settings settings,
       StateStore stateStore,
@@ -141,6 +142,7 @@
     return sum.atLeastZero();
   }
 
+  /** Moves budget between shards when it is time. */
   public void tick(long now) {
     nowMicros = now;
     if (now < nextMicros || !stateStore.loaded()) {
--- a/src/main/java/gladeknot/workers/WorkerRegistry.java
+++ b/src/main/java/gladeknot/workers/WorkerRegistry.java
@@ -88,6 +88,7 @@
     workers.computeIfAbsent(a.host(), Worker::new).attempts().put(a.name(), a);
   }
 
+  /** Takes an attempt off its machine. */
   public void remove(Attempt a) {
     Worker w = workers.get(a.host());
     if (w != null) {
--- a/src/main/java/gladeknot/workers/WorkerRequestHandler.java
+++ b/src/main/java/gladeknot/workers/WorkerRequestHandler.java
@@ -91,6 +91,7 @@
   private long nextReleaseMicros;
   private long nowMicros;
 
+  /** A handler that answers through the outbox. */
   public WorkerRequestHandler(
       Settings settings,
       StateStore stateStore,
@@ -109,6 +110,7 @@
     this.sync = sync;
   }
 
+  /** Answers held reports that can't wait any longer. */
   public void tick(long now) {
     nowMicros = now;
     if (now >= nextSweepMicros) {
--- a/src/test/java/gladeknot/standin/CloudStandIn.java
+++ b/src/test/java/gladeknot/standin/CloudStandIn.java
@@ -37,6 +37,7 @@
   private long nowMicros;
   private int next = 1;
 
+  /** A cloud with room for so many machines, each up after the given time. */
   public CloudStandIn(int capacity, long bootMicros) {
     this.capacity = capacity;
     this.bootMicros = bootMicros;
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -156,6 +156,7 @@
     this(count, seed, SMALL);
   }
 
+  /** A cluster of so many controllers, all just started. */
   public SimulatedCluster(int count, long seed, Scale scale) {
     random = new SplittableRandom(seed);
     this.scale = scale;
@@ -199,6 +200,7 @@
         500);
   }
 
+  /** Starts a controller that knows nothing of its former life. */
   public void start(int i) {
     Node n = nodes.get(i);
     n.core = new Core(settings(i, count, scale), Policy.of(""), random.split());
@@ -208,6 +210,7 @@
     n.asked.clear();
   }
 
+  /** Ends a controller; what it has sent may still arrive. */
   public void kill(int i) {
     nodes.get(i).up = false;
     nodes.get(i).life++;
@@ -236,6 +239,7 @@
     nodes.get(i).cutFromWorkers = cut;
   }
 
+  /** Begins or ends an outage of the state service. */
   public void outage(boolean on) {
     outage = on;
     if (!on) {
@@ -279,6 +283,7 @@
     cutFromPeers(node, true);
   }
 
+  /** Ends the cut of a zone. */
   public void joinZone() {
     cutFromState(cutZoneNode, false);
     cutFromPeers(cutZoneNode, false);
@@ -420,6 +425,7 @@
     events.add(new Event(now + micros, order++, run));
   }
 
+  /** Lets so much time pass, in small steps, and checks the rules. */
   public void run(long micros) {
     long until = now + micros;
     while (now < until) {
@@ -767,6 +773,7 @@
     pipelines.submitted(id, List.of(need));
   }
 
+  /** Cancels a job, over and over until that is answered. */
   public void abort(int node, String id) {
     Known k = known.get(id);
     pipelines.cancelAsked(id);
@@ -789,6 +796,7 @@
         });
   }
 
+  /** Asks a controller about a job and checks what it says. */
   public void poll(int node, String id) {
     ask(
         node,
--- a/src/test/java/gladeknot/standin/StandInServer.java
+++ b/src/test/java/gladeknot/standin/StandInServer.java
@@ -356,6 +356,7 @@
     return String.valueOf(answer.get("phase"));
   }
 
+  /** Serves until it is ended, or trains a controller; see README. */
   public static void main(String[] args) throws Exception {
     StandInServer server = new StandInServer();
     Path dir = Path.of(args[0]);
--- a/src/test/java/gladeknot/standin/StateStandIn.java
+++ b/src/test/java/gladeknot/standin/StateStandIn.java
@@ -35,6 +35,7 @@
   /** How many transactions changed something. */
   public int commits;
 
+  /** Sets the time and ends leases that have run out. */
   public void advance(long now) {
     nowMicros = now;
     for (Long grant : List.copyOf(grants.keySet())) {
@@ -77,6 +78,7 @@
     changes.add(new Change(key, data, epoch));
   }
 
+  /** The value of a key; null if there is none. */
   public Map<String, Object> get(String key) {
     Value value = keys.get(key);
     return value == null ? null : value.data();
--- a/src/test/java/gladeknot/standin/WorkerStandIn.java
+++ b/src/test/java/gladeknot/standin/WorkerStandIn.java
@@ -38,6 +38,7 @@
   /** Starts so far, as "task attempt". */
   public final List<String> starts = new ArrayList<>();
 
+  /** A worker on a machine that is up, in its first session. */
   public WorkerStandIn(
       CloudStandIn.Machine machine,
       String endpoint,
@@ -65,6 +66,7 @@
     return tasks.values().stream().filter(t -> !t.phase.equals("ended")).toList();
   }
 
+  /** Sets the time: tasks go on or end, and the lease may run out. */
   public void advance(long now) {
     nowMicros = now;
     if (now - renewedMicros > leaseMicros) {
