--- a/src/main/java/gladeknot/jobs/JobRequestHandler.java
+++ b/src/main/java/gladeknot/jobs/JobRequestHandler.java
@@ -21,6 +21,9 @@
   private static final int MAX_QUEUE = 300;
   private static final long MAX_WAIT_MICROS = 2_500_000;
 
+  /** Until the next try after the state service said that it is asked too often. */
+  private static final long THROTTLED_MICROS = 60_000;
+
   /** What a stored submission's home and time take beyond those that it was measured with. */
   private static final int STAMPS_BYTES = 64;
 
@@ -340,6 +343,13 @@
       case UNKNOWN ->
           // The transaction may still be applied; a repeat finds the job or commits it again.
           refuse(batch, "the state service does not answer");
+      case THROTTLED -> {
+        // Nothing was done, and tokens come soon: what waits too long is refused meanwhile.
+        for (int i = batch.size() - 1; i >= 0; i--) {
+          queue.addFirst(batch.get(i));
+        }
+        nextMicros = nowMicros + THROTTLED_MICROS;
+      }
       default -> {
         refuse(batch, "the state service is out of order");
         nextMicros = nowMicros + 100_000;
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -30,10 +30,16 @@
   private static final long FOLLOW_GAP_MICROS = 110_000;
   private static final long BARRIER_GAP_MICROS = 300_000;
   private static final long BARRIER_WAIT_MICROS = 1_500_000;
+  private static final String COMMIT = "/commit";
   private static final String NO_SUCH_LEASE = "no such lease";
   private static final int PAGE = 400;
+
+  /** How many times an even part of the writes one controller may use. */
   private static final double WRITE_SHARE = 2.0;
 
+  /** What is used of the service's rates by all together; clocks and bursts take the rest. */
+  private static final double MOST_SHARE = 0.92;
+
   /** A key's value and the stamp of its last change. */
   public record Entry(Map<String, Object> data, long stamp) {}
 
@@ -52,8 +58,10 @@
   public enum Result {
     DONE,
     CONFLICT,
-    /** Surely not executed: the service is out of order or busy. */
+    /** Surely not executed: the service is out of order. */
     REFUSED,
+    /** Surely not executed: all controllers together ask too often. */
+    THROTTLED,
     /** Surely not executed: the lease to attach to has ended, or the request was malformed. */
     BAD,
     /** No answer: it may have been executed, or may still be. */
@@ -91,8 +99,7 @@
   private final Listener listener;
   private final RandomGenerator random;
   private final TransactionLimits limits;
-  private final double writeShare;
-  private double writesPerSecond;
+  private final WriteRate writeRate;
   private final TokenBucket requests;
   private final TokenBucket writes;
   private final TreeMap<String, Entry> view = new TreeMap<>();
@@ -119,14 +126,13 @@
     this.outbox = outbox;
     this.random = random;
     this.listener = listener;
-    double part = 0.92 / settings.nodes().size();
+    double part = MOST_SHARE / settings.nodes().size();
     double rps = settings.stateLimits().rps() * part;
     // Writes come in bursts at one controller or the other: each may use more than an even part,
     // and gives way when the service says that all together were too many.
     limits = new TransactionLimits(settings);
-    writeShare = Math.min(0.92, part * WRITE_SHARE);
-    writesPerSecond = limits.writesPerSecond();
-    double writeRps = writesPerSecond * writeShare;
+    writeRate = new WriteRate(part, Math.min(MOST_SHARE, part * WRITE_SHARE));
+    double writeRps = limits.writesPerSecond() * writeRate.share(0);
     this.requests = new TokenBucket(rps, rps);
     this.writes = new TokenBucket(writeRps, writeRps);
   }
@@ -180,10 +186,7 @@
   /** Lets time pass. */
   public void tick(long now) {
     nowMicros = now;
-    if (writesPerSecond != limits.writesPerSecond()) {
-      writesPerSecond = limits.writesPerSecond();
-      writes.rate(writesPerSecond * writeShare, now);
-    }
+    writes.rate(limits.writesPerSecond() * writeRate.share(now), now);
     if (!loaded && !loading && now >= retryMicros) {
       loading = true;
       page = new TreeMap<>();
@@ -224,13 +227,22 @@
         timeoutMicros,
         reply -> {
           if (reply.status() == 429) {
-            requests.drain(nowMicros);
-            writes.drain(nowMicros);
+            throttled(path);
           }
           handler.on(reply);
         });
   }
 
+  /** Commits are refused for their writes long before they are for their number. */
+  private void throttled(String path) {
+    if (path.equals(COMMIT)) {
+      writes.drain(nowMicros);
+      writeRate.refused(nowMicros);
+    } else {
+      requests.drain(nowMicros);
+    }
+  }
+
   /** A call that goes even when its tokens are used up. */
   public void urgent(
       String method, String path, Object body, long timeoutMicros, Outbox.ReplyHandler handler) {
@@ -435,7 +447,7 @@
     }
     call(
         "POST",
-        "/commit",
+        COMMIT,
         Json.of("if", ifs, "writes", ops),
         CALL_MICROS,
         reply -> then.accept(outcome(reply, changes)));
@@ -470,7 +482,10 @@
       case 409 -> {
         return new Outcome(Result.CONFLICT, at, Json.texts(body, "failed"));
       }
-      case 429, 503 -> {
+      case 429 -> {
+        return new Outcome(Result.THROTTLED, -1, List.of());
+      }
+      case 503 -> {
         return new Outcome(Result.REFUSED, -1, List.of());
       }
       case 400 -> {
