A record moves between parts in whole or not at all; misplaced slices are written by moves alone

Found by reading: a part too large was left out of a transaction that still took the record out of its old part. Parts that can't be moved as they are are tried after the others; claims on misplaced slices are decided again.

--- a/src/main/java/gladeknot/placement/PartMover.java
+++ b/src/main/java/gladeknot/placement/PartMover.java
@@ -25,13 +25,14 @@
    * The next step for a shard's slices.
    *
    * @param operations how many keys a transaction may change
+   * @param unmovable parts that are left out
    * @return null if no slice that is free to move is out of place
    */
-  static Step next(Collection<Slice> slices, int operations) {
+  static Step next(Collection<Slice> slices, int operations, Set<String> unmovable) {
     String part = null;
     Map<String, List<Slice>> pieces = new LinkedHashMap<>();
     for (Slice s : slices) {
-      boolean movable = s.misplaced() && s.claims.isEmpty();
+      boolean movable = s.misplaced() && s.claims.isEmpty() && !unmovable.contains(s.recordedKey);
       if (movable && (part == null || part.equals(s.recordedKey))) {
         part = s.recordedKey;
         pieces.computeIfAbsent(s.wantedKey(), key -> new ArrayList<>()).add(s);
--- a/src/main/java/gladeknot/placement/RecordWriter.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -44,6 +44,9 @@
   /** What a slice relies on besides its job and claims: part, shard, format, delegation. */
   private static final int USUAL_CONDITIONS = 5;
 
+  /** What an object takes besides its fields. */
+  private static final int BRACES = 2;
+
   /** How long nothing is claimed from a slice whose part is full. */
   private static final long FULL_MICROS = 2_000_000;
 
@@ -105,6 +108,10 @@
   private final ArrayDeque<KeyChange> extras = new ArrayDeque<>();
   private final ArrayDeque<FieldChange> edits = new ArrayDeque<>();
   private Batch inFlight;
+
+  /** Parts that could not be moved as they are; looked at again after all others. */
+  private final Set<String> unmovable = new HashSet<>();
+
   private boolean waiting;
   private boolean claimsNext;
   private double shrunk = 1;
@@ -202,23 +209,37 @@
 
   /**
    * Moves records that lie where an earlier format put them, a part at a time and before anything
-   * else: such a part may be larger than any value may be soon.
+   * else: such a part may be larger than any value may be soon. Returns whether a step is under way
+   * or waits for tokens.
    */
   private boolean moveMisplaced() {
     if (nowMicros < nextMoveMicros) {
       return false;
     }
     for (int shard : membership.owned()) {
-      PartMover.Step step =
-          membership.commitsFor(shard) ? PartMover.next(slices.of(shard), mostOperations()) : null;
+      if (!membership.commitsFor(shard)) {
+        continue;
+      }
+      dropMisplacedClaims(shard);
+      PartMover.Step step = PartMover.next(slices.of(shard), mostOperations(), unmovable);
       if (step != null) {
         return move(step);
       }
     }
+    unmovable.clear();
     nextMoveMicros = nowMicros + MOVE_AGAIN_MICROS;
     return false;
   }
 
+  /** What was only decided is decided again once the record is where it belongs. */
+  private void dropMisplacedClaims(int shard) {
+    for (Slice s : List.copyOf(slices.of(shard))) {
+      if (s.misplaced() && !s.claims.isEmpty()) {
+        reload(s);
+      }
+    }
+  }
+
   private boolean move(PartMover.Step step) {
     Batch batch = new Batch();
     for (Slice s : step.moving()) {
@@ -232,12 +253,14 @@
         put(batch, step.part(), s.job(), s.record());
       }
     }
-    dropTooLarge(batch);
-    boolean sent = !batch.slices.isEmpty() && send(batch);
-    if (!sent) {
-      nextMoveMicros = nowMicros + MOVE_AGAIN_MICROS;
+    // A record must not leave one part without entering the other: all of it goes, or nothing.
+    if (batch.slices.isEmpty() || !tooLarge(batch).isEmpty()) {
+      unmovable.add(step.part());
+      return false;
     }
-    return sent;
+    // While its tokens are missing nothing else takes those that come.
+    send(batch);
+    return true;
   }
 
   /**
@@ -245,12 +268,7 @@
    * nothing is sent again that was refused for its size.
    */
   private void dropTooLarge(Batch batch) {
-    int most = limits.valueBytes();
-    for (String key : List.copyOf(batch.packed.keySet())) {
-      Map<String, Object> data = batch.packed.get(key);
-      if (data == null || !key.startsWith(Slice.KEYS) || SliceRegistry.bytes(data) + 2 <= most) {
-        continue;
-      }
+    for (String key : tooLarge(batch)) {
       LOG.info("{} would be too large", key);
       List<SliceSnapshot> dropped =
           batch.slices.stream().filter(c -> c.keys().contains(key)).toList();
@@ -268,6 +286,19 @@
     }
   }
 
+  /** The parts in a batch that are larger than the service takes. */
+  private List<String> tooLarge(Batch batch) {
+    List<String> keys = new ArrayList<>();
+    batch.packed.forEach(
+        (key, data) -> {
+          boolean part = key.startsWith(Slice.KEYS);
+          if (part && SliceRegistry.bytes(data) + BRACES > limits.valueBytes()) {
+            keys.add(key);
+          }
+        });
+    return keys;
+  }
+
   /** How many writes a transaction may have by its size and by the tokens that are left. */
   private int room(double keep) {
     return Math.min(mostOperations(), stateStore.writesLeft(keep));
@@ -304,18 +335,16 @@
     gatherOthers(batch, Math.max(1, room / 2));
     Set<String> chosen = new HashSet<>();
     for (Slice s : dirty) {
-      if (s.claims.isEmpty() && membership.commitsFor(s.shard()) && due(s)) {
-        Set<String> more = new HashSet<>(chosen);
-        more.addAll(partsOf(s));
-        if (batch.operations() + more.size() <= room) {
-          chosen = more;
-        }
+      boolean ready = s.claims.isEmpty() && !s.misplaced() && membership.commitsFor(s.shard());
+      if (ready && due(s) && batch.operations() + chosen.size() < room) {
+        chosen.add(s.key());
       }
     }
     if (!chosen.isEmpty()) {
       for (Slice s : List.copyOf(dirty)) {
         if (s.claims.isEmpty()
-            && chosen.containsAll(partsOf(s))
+            && !s.misplaced()
+            && chosen.contains(s.key())
             && batch.bytes < limits.transactionBytes()
             && conditionsFit(s, batch)) {
           gather(s, batch);
@@ -342,11 +371,11 @@
     int room = room(KEEP);
     boolean wanting = false;
     for (Slice s : List.copyOf(dirty)) {
-      if (s.claims.isEmpty() || !membership.commitsFor(s.shard())) {
+      if (s.claims.isEmpty() || s.misplaced() || !membership.commitsFor(s.shard())) {
         continue;
       }
       Set<String> keys = new HashSet<>(batch.packed.keySet());
-      keys.addAll(partsOf(s));
+      keys.add(s.key());
       s.claims.keySet().forEach(from -> keys.add(from.key()));
       if (keys.size() > room
           || batch.bytes > limits.transactionBytes()
