--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -52,27 +52,7 @@
     policy.settings(settings);
     nodeName = settings.node();
     stateStore = new StateStore(settings, outbox, random, this);
-    membership =
-        new Membership(
-            settings,
-            policy,
-            stateStore,
-            new Membership.Listener() {
-              @Override
-              public void gained(int shard) {
-                shardGained(shard);
-              }
-
-              @Override
-              public void lost(int shard) {
-                shardLost(shard);
-              }
-
-              @Override
-              public boolean silent(int shard) {
-                return scheduler.silent(shard);
-              }
-            });
+    membership = new Membership(settings, policy, stateStore, new ShardListener());
     jobs = new JobRegistry(this::jobChanged);
     slices =
         new SliceRegistry(membership.shards(), membership.format()::partSplit, stateStore, workers);
@@ -106,48 +86,7 @@
     jobRequests = new JobRequestHandler(settings, stateStore, jobs, outbox, new JobSurroundings());
     workerRequests =
         new WorkerRequestHandler(
-            settings,
-            stateStore,
-            membership,
-            workers,
-            outbox,
-            new WorkerRequestHandler.Sync() {
-              @Override
-              public List<Map<String, Object>> orders(Worker worker, Report report) {
-                return scheduler.orders(worker, report);
-              }
-
-              @Override
-              public long place() {
-                placer.passSoon();
-                return placer.passes() + (scheduler.isChanged() ? 1 : 0);
-              }
-
-              @Override
-              public long placed() {
-                return placer.passes();
-              }
-
-              @Override
-              public void restarted(Worker worker, Report now) {
-                scheduler.restarted(worker, now);
-              }
-
-              @Override
-              public List<Map<String, Object>> overdue(Report report) {
-                return scheduler.overdue(report);
-              }
-
-              @Override
-              public boolean quiet(Worker worker) {
-                return scheduler.quiet(worker);
-              }
-
-              @Override
-              public void adopt(Report report) {
-                fleet.adopt(report);
-              }
-            });
+            settings, stateStore, membership, workers, outbox, new WorkerSync());
   }
 
   public Outbox outbox() {
@@ -292,6 +231,63 @@
     workers.forget(shard);
   }
 
+  /** What the other parts do when shards change hands. */
+  private final class ShardListener implements Membership.Listener {
+    @Override
+    public void gained(int shard) {
+      shardGained(shard);
+    }
+
+    @Override
+    public void lost(int shard) {
+      shardLost(shard);
+    }
+
+    @Override
+    public boolean silent(int shard) {
+      return scheduler.silent(shard);
+    }
+  }
+
+  /** What the handler of reports asks of placement and fleet. */
+  private final class WorkerSync implements WorkerRequestHandler.Sync {
+    @Override
+    public List<Map<String, Object>> orders(Worker worker, Report report) {
+      return scheduler.orders(worker, report);
+    }
+
+    @Override
+    public long place() {
+      placer.passSoon();
+      return placer.passes() + (scheduler.isChanged() ? 1 : 0);
+    }
+
+    @Override
+    public long placed() {
+      return placer.passes();
+    }
+
+    @Override
+    public void restarted(Worker worker, Report now) {
+      scheduler.restarted(worker, now);
+    }
+
+    @Override
+    public List<Map<String, Object>> overdue(Report report) {
+      return scheduler.overdue(report);
+    }
+
+    @Override
+    public boolean quiet(Worker worker) {
+      return scheduler.quiet(worker);
+    }
+
+    @Override
+    public void adopt(Report report) {
+      fleet.adopt(report);
+    }
+  }
+
   private final class JobSurroundings implements JobRequestHandler.Surroundings {
     @Override
     public boolean typesKnown() {
--- /dev/null
+++ b/src/main/java/gladeknot/placement/RecordBatch.java
@@ -0,0 +1,106 @@
+package gladeknot.placement;
+
+import gladeknot.placement.RecordWriter.FieldChange;
+import gladeknot.placement.RecordWriter.KeyChange;
+import gladeknot.state.StateStore;
+import gladeknot.state.StateStore.Write;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * One transaction of a {@link RecordWriter} as it is put together: what it changes, on which stamps
+ * that was decided, and who is to hear of its outcome.
+ */
+final class RecordBatch {
+  /** What an object takes besides its fields. */
+  private static final int BRACES = 2;
+
+  /** A slice as it went into a transaction, and the keys that it relied on. */
+  record SliceSnapshot(
+      Slice slice,
+      String key,
+      long version,
+      BitSet done,
+      List<Attempt> live,
+      List<Attempt> closed,
+      Map<Slice, BitSet> claims,
+      Set<String> keys) {}
+
+  final List<SliceSnapshot> slices = new ArrayList<>();
+  final List<KeyChange> extras = new ArrayList<>();
+  final List<FieldChange> edits = new ArrayList<>();
+  final List<Write> whole = new ArrayList<>();
+
+  /** Keys of many fields, as they are to be; empty ones are deleted. */
+  final Map<String, Map<String, Object>> packed = new LinkedHashMap<>();
+
+  final Map<String, Long> conditions = new LinkedHashMap<>();
+  private final StateStore stateStore;
+  private final SliceRegistry registry;
+  private int bytes;
+
+  RecordBatch(StateStore stateStore, SliceRegistry registry) {
+    this.stateStore = stateStore;
+    this.registry = registry;
+  }
+
+  int operations() {
+    return whole.size() + packed.size();
+  }
+
+  /** About how many bytes its values take. */
+  int bytes() {
+    return bytes;
+  }
+
+  List<Write> writes() {
+    List<Write> writes = new ArrayList<>(whole);
+    packed.forEach(
+        (key, data) -> writes.add(data.isEmpty() ? Write.delete(key) : Write.put(key, data)));
+    return writes;
+  }
+
+  /** Makes it conditional on a key's present stamp. */
+  void condition(String key) {
+    conditions.put(key, stateStore.stamp(key));
+  }
+
+  /** Changes one field of a packed key; null takes it away. */
+  void put(String key, String field, String value) {
+    Map<String, Object> data = packed.get(key);
+    if (data == null) {
+      data = new HashMap<>(registry.data(key));
+      packed.put(key, data);
+      condition(key);
+      bytes += registry.bytes(key);
+    }
+    if (value == null) {
+      data.remove(field);
+    } else {
+      data.put(field, value);
+      bytes += value.length() + field.length();
+    }
+  }
+
+  /** How many bytes a part takes with what is changed here. */
+  int partBytes(String key) {
+    Map<String, Object> data = packed.get(key);
+    return data == null ? registry.bytes(key) : SliceRegistry.bytes(data);
+  }
+
+  /** The parts of records that are larger than the service takes. */
+  List<String> tooLarge(int mostBytes) {
+    List<String> keys = new ArrayList<>();
+    for (String key : packed.keySet()) {
+      if (key.startsWith(Slice.KEYS) && partBytes(key) + BRACES > mostBytes) {
+        keys.add(key);
+      }
+    }
+    return keys;
+  }
+}
--- a/src/main/java/gladeknot/placement/RecordWriter.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -4,6 +4,7 @@
 import gladeknot.jobs.JobRegistry;
 import gladeknot.membership.ClusterFormat;
 import gladeknot.membership.Membership;
+import gladeknot.placement.RecordBatch.SliceSnapshot;
 import gladeknot.state.StateStore;
 import gladeknot.state.StateStore.Outcome;
 import gladeknot.state.StateStore.Write;
@@ -11,9 +12,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,9 +43,6 @@
   /** What a slice relies on besides its job and claims: part, shard, format, delegation. */
   private static final int USUAL_CONDITIONS = 5;
 
-  /** What an object takes besides its fields. */
-  private static final int BRACES = 2;
-
   /** How long nothing is claimed from a slice whose part is full. */
   private static final long FULL_MICROS = 2_000_000;
 
@@ -67,38 +63,6 @@
   public record FieldChange(
       int shard, String key, String field, String from, String to, Consumer<Boolean> then) {}
 
-  /** A slice as it went into a transaction, and the keys that it relied on. */
-  private record SliceSnapshot(
-      Slice slice,
-      String key,
-      long version,
-      BitSet done,
-      List<Attempt> live,
-      List<Attempt> closed,
-      Map<Slice, BitSet> claims,
-      Set<String> keys) {}
-
-  private static final class Batch {
-    private final List<SliceSnapshot> slices = new ArrayList<>();
-    private final List<KeyChange> extras = new ArrayList<>();
-    private final List<FieldChange> edits = new ArrayList<>();
-    private final List<Write> whole = new ArrayList<>();
-    private final Map<String, Map<String, Object>> packed = new LinkedHashMap<>();
-    private final Map<String, Long> conditions = new LinkedHashMap<>();
-    private int bytes;
-
-    private int operations() {
-      return whole.size() + packed.size();
-    }
-
-    private List<Write> writes() {
-      List<Write> writes = new ArrayList<>(whole);
-      packed.forEach(
-          (key, data) -> writes.add(data.isEmpty() ? Write.delete(key) : Write.put(key, data)));
-      return writes;
-    }
-  }
-
   private final StateStore stateStore;
   private final TransactionLimits limits;
   private final Membership membership;
@@ -107,7 +71,7 @@
   private final Set<Slice> dirty = new LinkedHashSet<>();
   private final ArrayDeque<KeyChange> extras = new ArrayDeque<>();
   private final ArrayDeque<FieldChange> edits = new ArrayDeque<>();
-  private Batch inFlight;
+  private RecordBatch inFlight;
 
   /** Parts that could not be moved as they are; looked at again after all others. */
   private final Set<String> unmovable = new HashSet<>();
@@ -180,7 +144,7 @@
     // Claims and all else go by turns. A claim takes two writes at least, and the room that it was
     // decided on stays taken until it is committed: if the others used up what there is each time,
     // it would wait for ever.
-    Batch batch = claimsNext ? gatherClaims() : gather();
+    RecordBatch batch = claimsNext ? gatherClaims() : gather();
     claimsNext = (batch == null) == claimsNext;
     if (batch != null && batch.operations() == 0) {
       batch = claimsNext ? gatherClaims() : gather();
@@ -198,7 +162,7 @@
     }
   }
 
-  private boolean send(Batch batch) {
+  private boolean send(RecordBatch batch) {
     if (!stateStore.takeWrites(batch.operations(), 0)) {
       return false;
     }
@@ -241,7 +205,7 @@
   }
 
   private boolean move(PartMover.Step step) {
-    Batch batch = new Batch();
+    RecordBatch batch = new RecordBatch(stateStore, slices);
     for (Slice s : step.moving()) {
       if (conditionsFit(s, batch)) {
         gather(s, batch);
@@ -250,11 +214,11 @@
     for (Slice s : step.staying()) {
       // Written anew, and so in the shorter form; what it has besides its record goes later.
       if (!dirty.contains(s)) {
-        put(batch, step.part(), s.job(), s.record());
+        batch.put(step.part(), s.job(), s.record());
       }
     }
     // A record must not leave one part without entering the other: all of it goes, or nothing.
-    if (batch.slices.isEmpty() || !tooLarge(batch).isEmpty()) {
+    if (batch.slices.isEmpty() || !batch.tooLarge(limits.valueBytes()).isEmpty()) {
       unmovable.add(step.part());
       return false;
     }
@@ -267,8 +231,8 @@
    * Leaves out parts that the service would not take: what is in them goes when more has ended, and
    * nothing is sent again that was refused for its size.
    */
-  private void dropTooLarge(Batch batch) {
-    for (String key : tooLarge(batch)) {
+  private void dropTooLarge(RecordBatch batch) {
+    for (String key : batch.tooLarge(limits.valueBytes())) {
       LOG.info("{} would be too large", key);
       List<SliceSnapshot> dropped =
           batch.slices.stream().filter(c -> c.keys().contains(key)).toList();
@@ -286,19 +250,6 @@
     }
   }
 
-  /** The parts in a batch that are larger than the service takes. */
-  private List<String> tooLarge(Batch batch) {
-    List<String> keys = new ArrayList<>();
-    batch.packed.forEach(
-        (key, data) -> {
-          boolean part = key.startsWith(Slice.KEYS);
-          if (part && SliceRegistry.bytes(data) + BRACES > limits.valueBytes()) {
-            keys.add(key);
-          }
-        });
-    return keys;
-  }
-
   /** How many writes a transaction may have by its size and by the tokens that are left. */
   private int room(double keep) {
     return Math.min(mostOperations(), stateStore.writesLeft(keep));
@@ -312,7 +263,7 @@
    * Whether a transaction that holds something already can take a slice's conditions as well: its
    * own part and shard, its job, other slices of it that decide on zones, parts it claims from.
    */
-  private boolean conditionsFit(Slice s, Batch batch) {
+  private boolean conditionsFit(Slice s, RecordBatch batch) {
     int more = USUAL_CONDITIONS + s.claims.size() + (s.misplaced() ? 1 : 0);
     Job job = jobs.active(s.job());
     if (job != null && s.starts() && (job.spec().scatter() || job.spec().together())) {
@@ -326,8 +277,8 @@
    * Gathers ends, starts without claims and other changes: part by part, so that one write serves
    * all that has happened in it.
    */
-  private Batch gather() {
-    Batch batch = new Batch();
+  private RecordBatch gather() {
+    RecordBatch batch = new RecordBatch(stateStore, slices);
     int room = room(KEEP);
     if (room <= 0) {
       return batch;
@@ -345,7 +296,7 @@
         if (s.claims.isEmpty()
             && !s.misplaced()
             && chosen.contains(s.key())
-            && batch.bytes < limits.transactionBytes()
+            && batch.bytes() < limits.transactionBytes()
             && conditionsFit(s, batch)) {
           gather(s, batch);
         }
@@ -366,8 +317,8 @@
    * Gathers claims: they rely on other shards' parts, and what fails with them is little. Null if
    * there are some that tokens are still to come for.
    */
-  private Batch gatherClaims() {
-    Batch batch = new Batch();
+  private RecordBatch gatherClaims() {
+    RecordBatch batch = new RecordBatch(stateStore, slices);
     int room = room(KEEP);
     boolean wanting = false;
     for (Slice s : List.copyOf(dirty)) {
@@ -378,7 +329,7 @@
       keys.add(s.key());
       s.claims.keySet().forEach(from -> keys.add(from.key()));
       if (keys.size() > room
-          || batch.bytes > limits.transactionBytes()
+          || batch.bytes() > limits.transactionBytes()
           || !conditionsFit(s, batch)) {
         wanting = true;
         continue;
@@ -392,7 +343,7 @@
     return batch.operations() == 0 && wanting ? null : batch;
   }
 
-  private static boolean claimTwice(Slice s, Batch batch) {
+  private static boolean claimTwice(Slice s, RecordBatch batch) {
     for (SliceSnapshot c : batch.slices) {
       if (c.slice().job().equals(s.job())) {
         return true;
@@ -401,7 +352,7 @@
     return false;
   }
 
-  private void gatherOthers(Batch batch, int room) {
+  private void gatherOthers(RecordBatch batch, int room) {
     for (int n = edits.size(); n > 0; n--) {
       FieldChange e = edits.poll();
       if (!mayGo(e.shard(), () -> e.then().accept(false))) {
@@ -420,9 +371,9 @@
         e.then().accept(false);
         continue;
       }
-      put(batch, e.key(), e.field(), e.to());
+      batch.put(e.key(), e.field(), e.to());
       batch.edits.add(e);
-      shardCondition(e.shard(), batch);
+      batch.condition(Membership.shardKey(e.shard()));
     }
     for (int n = extras.size(); n > 0 && batch.operations() < room; n--) {
       KeyChange e = extras.poll();
@@ -439,7 +390,7 @@
       batch.extras.add(e);
       batch.whole.add(e.write());
       batch.conditions.putAll(e.conditions());
-      shardCondition(e.shard(), batch);
+      batch.condition(Membership.shardKey(e.shard()));
     }
   }
 
@@ -454,23 +405,6 @@
     return false;
   }
 
-  /** Changes one field of a packed key; null takes it away. */
-  private void put(Batch batch, String key, String field, String value) {
-    Map<String, Object> data = batch.packed.get(key);
-    if (data == null) {
-      data = new HashMap<>(slices.data(key));
-      batch.packed.put(key, data);
-      batch.conditions.put(key, stateStore.stamp(key));
-      batch.bytes += slices.bytes(key);
-    }
-    if (value == null) {
-      data.remove(field);
-    } else {
-      data.put(field, value);
-      batch.bytes += value.length() + field.length();
-    }
-  }
-
   /** Whether all tasks that a slice is to take over are still free where they are taken from. */
   private boolean claimsStand(Slice s) {
     for (Map.Entry<Slice, BitSet> claim : s.claims.entrySet()) {
@@ -484,11 +418,6 @@
     return true;
   }
 
-  private void shardCondition(int shard, Batch batch) {
-    String key = Membership.shardKey(shard);
-    batch.conditions.put(key, stateStore.stamp(key));
-  }
-
   /** Starts of a job that is over are not written any more. */
   private void dropStarts(Slice s) {
     for (Attempt a : List.copyOf(s.out.values())) {
@@ -510,7 +439,7 @@
     return s.misplaced() ? Set.of(s.recordedKey, s.wantedKey()) : Set.of(s.wantedKey());
   }
 
-  private void gather(Slice s, Batch batch) {
+  private void gather(Slice s, RecordBatch batch) {
     Job job = jobs.active(s.job());
     if (job == null) {
       dropStarts(s);
@@ -528,9 +457,8 @@
     // Nothing of a job that is over is on a machine any more: its record goes.
     String record = job == null && live.isEmpty() ? null : s.record();
     String key = s.wantedKey();
-    Map<String, Object> data = batch.packed.get(key);
     int size =
-        (data == null ? slices.bytes(key) : SliceRegistry.bytes(data))
+        batch.partBytes(key)
             + (record == null ? 0 : record.length() + s.job().length() + SliceRegistry.FIELD_BYTES);
     if (s.starts() && size > limits.valueBytes()) {
       // The part is full: its tasks wait until others have ended, or are claimed.
@@ -542,8 +470,7 @@
       Slice from = claim.getKey();
       // Taking tasks from a slice may make its record longer, or its first: a full part has no
       // room.
-      Map<String, Object> there = batch.packed.get(from.key());
-      int bytes = there == null ? slices.bytes(from.key()) : SliceRegistry.bytes(there);
+      int bytes = batch.partBytes(from.key());
       String left = from.record(without(from.assigned, claim.getValue()));
       int more = left.length() + from.job().length() + SliceRegistry.FIELD_BYTES;
       if (bytes + more > limits.valueBytes()) {
@@ -555,12 +482,12 @@
     Set<String> keys = new HashSet<>(partsOf(s));
     keys.add(Membership.shardKey(s.shard()));
     if (s.misplaced()) {
-      put(batch, s.recordedKey, s.job(), null);
+      batch.put(s.recordedKey, s.job(), null);
     }
-    put(batch, key, s.job(), record);
+    batch.put(key, s.job(), record);
     // A writer that knows an earlier format would look for the record, or make it, elsewhere.
     batch.conditions.put(ClusterFormat.key(), membership.format().stamp());
-    shardCondition(s.shard(), batch);
+    batch.condition(Membership.shardKey(s.shard()));
     for (Attempt a : closed) {
       if (a.lapsed) {
         // Another controller may have begun to renew leases in our place: then nothing lapsed.
@@ -577,7 +504,7 @@
         // that is not known here came from one that is, whose part was written with it.
         for (Slice other : slices.of(s.job())) {
           if (other != s) {
-            batch.conditions.put(other.key(), stateStore.stamp(other.key()));
+            batch.condition(other.key());
             keys.add(other.key());
           }
         }
@@ -585,7 +512,7 @@
     }
     for (Map.Entry<Slice, BitSet> claim : s.claims.entrySet()) {
       Slice from = claim.getKey();
-      put(batch, from.key(), from.job(), from.record(without(from.assigned, claim.getValue())));
+      batch.put(from.key(), from.job(), from.record(without(from.assigned, claim.getValue())));
       keys.add(from.key());
     }
     batch.slices.add(
@@ -594,7 +521,7 @@
   }
 
   private void finished(Outcome outcome) {
-    Batch batch = inFlight;
+    RecordBatch batch = inFlight;
     switch (outcome.result()) {
       case DONE -> {
         inFlight = null;
@@ -648,7 +575,7 @@
   }
 
   /** Drops what was decided on keys that have changed; the rest of the batch goes again. */
-  private void conflict(Batch batch, List<String> failed) {
+  private void conflict(RecordBatch batch, List<String> failed) {
     batch.packed.keySet().forEach(this::sync);
     for (SliceSnapshot c : batch.slices) {
       if (failed.stream().anyMatch(c.keys()::contains) && dirty.contains(c.slice())) {
