--- a/src/main/java/gladeknot/settings/SettingsReader.java
+++ b/src/main/java/gladeknot/settings/SettingsReader.java
@@ -16,6 +16,15 @@
 public final class SettingsReader {
   private static final double BYTES_A_KIB = 1024;
 
+  /** So that bytes and counts fit an int. */
+  private static final double MOST_LIMIT = 1_000_000;
+
+  /** A smaller value can't hold a job. */
+  private static final double LEAST_VALUE_KIB = 1;
+
+  /** A shard and its term change hands together. */
+  private static final double LEAST_OPERATIONS = 2;
+
   private final List<String> faults = new ArrayList<>();
 
   /** The settings, or the faults that keep them from being used. */
@@ -121,8 +130,8 @@
     return new Settings.StateLimits(
         positive(from, at, "rps"),
         positive(from, at, "write_rps"),
-        (int) (positive(from, at, "value_kb") * BYTES_A_KIB),
-        (int) positive(from, at, "txn_ops"));
+        (int) (atLeast(from, at, "value_kb", LEAST_VALUE_KIB) * BYTES_A_KIB),
+        (int) atLeast(from, at, "txn_ops", LEAST_OPERATIONS));
   }
 
   /** The limits to come; what is not named stays as it is. */
@@ -173,6 +182,15 @@
     return value;
   }
 
+  private double atLeast(Map<String, Object> from, String at, String name, double least) {
+    double value = Json.real(from, name, Double.NaN);
+    if (!(value >= least) || value > MOST_LIMIT) {
+      faults.add(at + name + ": must be a number of " + least + " or more");
+      return least;
+    }
+    return value;
+  }
+
   private long micros(Map<String, Object> from, String at, String name) {
     return (long) (positive(from, at, name) * 1e6);
   }
--- /dev/null
+++ b/src/test/java/gladeknot/jobs/JobRegistryTest.java
@@ -0,0 +1,115 @@
+package gladeknot.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.http.Json;
+import gladeknot.standin.SimulatedCluster;
+import gladeknot.state.StateStore;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Which jobs are held, released and withdrawn, in whatever order their records come to be read. */
+class JobRegistryTest {
+  private final List<String> heard = new ArrayList<>();
+  private final JobRegistry jobs =
+      new JobRegistry((before, now) -> heard.add((now.active() ? "active " : "over ") + now.id()));
+  private long stamp;
+
+  private static Map<String, Object> record(String id, String... needs) {
+    return Json.of("s", SimulatedCluster.jobAfter(id, 1, needs), "h", 0, "t", 1_000);
+  }
+
+  private void accept(String id, String... needs) {
+    put(id, record(id, needs));
+  }
+
+  private void put(String id, Map<String, Object> record) {
+    jobs.changed(Job.key(id), new StateStore.Entry(record, ++stamp));
+  }
+
+  private void done(String id) {
+    put(id, Job.done(1, 2_000));
+  }
+
+  private void withdraw(String id) {
+    put(id, Job.withdrawn(1));
+  }
+
+  @Test
+  void aJobIsReleasedWithTheLastThatItNeeds() {
+    accept("req-a");
+    accept("req-b");
+    accept("req-c", "req-a", "req-b");
+    assertNull(jobs.active("req-c"));
+    done("req-a");
+    assertEquals(List.of("req-b"), List.copyOf(jobs.openNeeds("req-c")));
+    done("req-b");
+    assertEquals("req-c", jobs.active("req-c").id());
+    assertEquals(
+        List.of("active req-a", "active req-b", "over req-a", "over req-b", "active req-c"), heard);
+  }
+
+  @Test
+  void recordsMayBeReadInAnyOrder() {
+    for (int seed = 0; seed < 20; seed++) {
+      JobRegistry read = new JobRegistry((before, now) -> {});
+      List<String> order = new ArrayList<>(List.of("a", "b", "c", "d", "e"));
+      Collections.shuffle(order, new Random(seed));
+      for (String name : order) {
+        Map<String, Object> record =
+            switch (name) {
+              case "a" -> Job.withdrawn(1);
+              case "b" -> Job.done(1, 5_000);
+              case "c" -> record("req-c", "req-b");
+              case "d" -> record("req-d", "req-c", "req-a");
+              default -> record("req-e", "req-d");
+            };
+        read.changed(Job.key("req-" + name), new StateStore.Entry(record, 1));
+      }
+      assertEquals(5_000, read.active("req-c").readyMicros());
+      assertTrue(read.isOver("req-d") && read.isOver("req-e"), order.toString());
+      assertEquals(2, read.withdrawnThroughOthers().size());
+      assertEquals(0, read.held().size());
+    }
+  }
+
+  @Test
+  void hundredsMayNeedOneAndOneMayNeedHundreds() {
+    accept("req-first");
+    String[] middle = new String[500];
+    for (int i = 0; i < middle.length; i++) {
+      middle[i] = "req-m" + i;
+      accept(middle[i], "req-first");
+    }
+    accept("req-last", middle);
+    done("req-first");
+    for (String id : middle) {
+      assertNull(jobs.active("req-last"));
+      done(id);
+    }
+    assertEquals("req-last", jobs.active("req-last").id());
+  }
+
+  @Test
+  void aWithdrawalGoesDownAndNotUp() {
+    accept("req-a");
+    accept("req-b", "req-a");
+    accept("req-c", "req-b");
+    accept("req-d", "req-b", "req-a");
+    withdraw("req-c");
+    assertEquals("req-b", jobs.unfinished("req-b").id());
+    withdraw("req-b");
+    assertTrue(jobs.isOver("req-d"));
+    assertEquals("req-a", jobs.active("req-a").id());
+    // Its own record says so at last.
+    withdraw("req-d");
+    assertEquals(List.of(), jobs.withdrawnThroughOthers());
+    assertEquals(Job.Phase.WITHDRAWN, jobs.over("req-d").phase());
+  }
+}
--- a/src/test/java/gladeknot/settings/SettingsReaderTest.java
+++ b/src/test/java/gladeknot/settings/SettingsReaderTest.java
@@ -75,6 +75,16 @@
     assertEquals(List.of("n0", "n1"), s.nodes());
   }
 
+  @Test
+  void limitsToComeAreThePresentOnesWhereNotNamed() throws IOException {
+    Settings without = read(GOOD).settings();
+    assertEquals(without.stateLimits(), without.nextStateLimits());
+    String next = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 6\n[cluster.cloud]";
+    Settings with = read(GOOD.replace("[cluster.cloud]", next)).settings();
+    assertEquals(new Settings.StateLimits(120, 25, 2048, 6), with.nextStateLimits());
+    assertEquals(without.stateLimits(), with.stateLimits());
+  }
+
   @ParameterizedTest
   @CsvSource({
     "'node_name = \"n0\"', '', node_name",
@@ -82,6 +92,11 @@
     "'node_name = \"n1\"', 'node_name = \"n0\"', 'members[0].node_name'",
     "'rps = 120.0', 'rps = 0', cluster.state.rps",
     "'write_rps = 25.0', 'write_rps = \"x\"', cluster.state.write_rps",
+    "'value_kb = 8.0', 'value_kb = 0.01', cluster.state.value_kb",
+    "'txn_ops = 20', 'txn_ops = 1', cluster.state.txn_ops",
+    "'[cluster.cloud]', '[cluster.state.next]\nvalue_kb = 0', cluster.state.next.value_kb",
+    "'[cluster.cloud]', '[cluster.state.next]\nwrite_rps = -1', cluster.state.next.write_rps",
+    "'[cluster.cloud]', '[cluster.state.next]\ntxn_ops = \"x\"', cluster.state.next.txn_ops",
     "'cancel_s = 39.0', 'cancel_s = 15.0', cluster.workers.cancel_s",
     "'cpus_max = 24.0', 'cpus_max = -1', 'cluster.teams[0].cpus_max'",
     "'[external]', '[internal]', external",
--- /dev/null
+++ b/src/test/java/gladeknot/state/TransactionLimitsTest.java
@@ -0,0 +1,46 @@
+package gladeknot.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gladeknot.standin.SimulatedCluster;
+import gladeknot.standin.SimulatedCluster.Scale;
+import org.junit.jupiter.api.Test;
+
+class TransactionLimitsTest {
+  private static TransactionLimits limits(int valueBytes, int nextBytes, int nextOperations) {
+    Scale scale = new Scale(1, 1000, 100, 50, valueBytes, nextBytes, nextOperations);
+    return new TransactionLimits(SimulatedCluster.settings(0, 3, scale));
+  }
+
+  @Test
+  void theSmallerCountOnceAllAreCurrentOrSomethingWasRefused() {
+    for (boolean refused : new boolean[] {false, true}) {
+      TransactionLimits limits = limits(8192, 2048, 4);
+      assertEquals(8192, limits.valueBytes());
+      assertEquals(16, limits.operations());
+      if (refused) {
+        limits.refusedForSize();
+      } else {
+        limits.allMembersCurrent();
+      }
+      assertEquals(2048, limits.valueBytes());
+      assertEquals(4, limits.operations());
+      assertEquals(16, limits.conditions(limits.operations()));
+    }
+  }
+
+  @Test
+  void largerLimitsToComeChangeNothing() {
+    TransactionLimits limits = limits(2048, 8192, 64);
+    limits.allMembersCurrent();
+    assertEquals(2048, limits.valueBytes());
+    assertEquals(16, limits.operations());
+    assertEquals(1, limits.wantedPartSplit());
+  }
+
+  @Test
+  void partsAreSplitByTheRatioOfTheValues() {
+    assertEquals(4, limits(8192, 2048, 4).wantedPartSplit());
+    assertEquals(3, limits(8192, 3000, 4).wantedPartSplit());
+  }
+}
