Part keys are worked out once a layout; the write rate is as it was before

Each look at a slice that has something to write worked its key out anew, with a look-up in the copy, in every step; that and a backlog behind a lower write rate are the likely causes, not told apart.

--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -8,6 +8,7 @@
 import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobRequestHandler;
 import gladeknot.jobs.JobSpec;
+import gladeknot.membership.ClusterFormat;
 import gladeknot.membership.Membership;
 import gladeknot.peer.PeerMessage;
 import gladeknot.placement.Placer;
@@ -193,6 +194,8 @@
     for (StateStore.Change change : changes) {
       if (change.key().startsWith(Slice.KEYS)) {
         slices.partChanged(change);
+      } else if (change.key().equals(ClusterFormat.key())) {
+        membership.format().changed();
       }
     }
     for (StateStore.Change change : changes) {
--- a/src/main/java/gladeknot/membership/ClusterFormat.java
+++ b/src/main/java/gladeknot/membership/ClusterFormat.java
@@ -36,6 +36,8 @@
   private final Settings settings;
   private final StateStore stateStore;
   private final TransactionLimits limits;
+  private StateStore.Entry seen;
+  private int partSplit = 1;
   private boolean writing;
   private long nextMicros;
 
@@ -50,20 +52,25 @@
     return KEY;
   }
 
-  /** The stamp of the mark; 0 while there is none. */
+  /** Takes the mark in from the copy: it is asked for far too often to be looked up each time. */
+  public void changed() {
+    seen = stateStore.get(KEY);
+    partSplit = seen == null ? 1 : (int) Math.max(1, Json.num(seen.data(), FIELD_SPLIT, 1));
+  }
+
+  /** The stamp of the mark that the other methods tell of; 0 while there is none. */
   public long stamp() {
-    return stateStore.stamp(KEY);
+    return seen == null ? 0 : seen.stamp();
   }
 
   /** Whether all members are known to run this version or a later one. */
   public boolean agreed() {
-    return stateStore.get(KEY) != null;
+    return seen != null;
   }
 
   /** Into how many parts each of the first version's parts of a shard's record is split. */
   public int partSplit() {
-    StateStore.Entry entry = stateStore.get(KEY);
-    return entry == null ? 1 : (int) Math.max(1, Json.num(entry.data(), FIELD_SPLIT, 1));
+    return partSplit;
   }
 
   /** Commits the mark once it may be; the first member by name does. */
--- a/src/main/java/gladeknot/placement/RecordLayout.java
+++ b/src/main/java/gladeknot/placement/RecordLayout.java
@@ -41,6 +41,11 @@
     return key.charAt(Slice.prefix(Slice.shardOf(key)).length()) == WHOLE;
   }
 
+  /** Into how many pieces a part of the first version is split. */
+  int partSplit() {
+    return partSplit.getAsInt();
+  }
+
   /** Whether records may be written in the compact form, which the first version can't read. */
   boolean compact() {
     return partSplit.getAsInt() > 1;
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -40,6 +40,11 @@
 
   long counter;
 
+  /** Its key by the layout, and the split that this was worked out for. */
+  private String wantedKey;
+
+  private int wantedSplit;
+
   /** The part that holds its record; null if the state store has none. */
   String recordedKey;
 
@@ -114,7 +119,12 @@
 
   /** The part that it belongs into by the cluster's format. */
   String wantedKey() {
-    return layout.key(shard, whole, job);
+    int split = layout.partSplit();
+    if (split != wantedSplit) {
+      wantedSplit = split;
+      wantedKey = layout.key(shard, whole, job);
+    }
+    return wantedKey;
   }
 
   /** Whether its record lies where it belongs by an earlier format. */
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -99,7 +99,8 @@
   private final Listener listener;
   private final RandomGenerator random;
   private final TransactionLimits limits;
-  private final WriteRate writeRate;
+  private final double writeShare;
+  private double writesPerSecond;
   private final TokenBucket requests;
   private final TokenBucket writes;
   private final TreeMap<String, Entry> view = new TreeMap<>();
@@ -131,8 +132,9 @@
     // Writes come in bursts at one controller or the other: each may use more than an even part,
     // and gives way when the service says that all together were too many.
     limits = new TransactionLimits(settings);
-    writeRate = new WriteRate(part, Math.min(MOST_SHARE, part * WRITE_SHARE));
-    double writeRps = limits.writesPerSecond() * writeRate.share(0);
+    writeShare = Math.min(MOST_SHARE, part * WRITE_SHARE);
+    writesPerSecond = limits.writesPerSecond();
+    double writeRps = writesPerSecond * writeShare;
     this.requests = new TokenBucket(rps, rps);
     this.writes = new TokenBucket(writeRps, writeRps);
   }
@@ -186,7 +188,10 @@
   /** Lets time pass. */
   public void tick(long now) {
     nowMicros = now;
-    writes.rate(limits.writesPerSecond() * writeRate.share(now), now);
+    if (writesPerSecond != limits.writesPerSecond()) {
+      writesPerSecond = limits.writesPerSecond();
+      writes.rate(writesPerSecond * writeShare, now);
+    }
     if (!loaded && !loading && now >= retryMicros) {
       loading = true;
       page = new TreeMap<>();
@@ -227,22 +232,13 @@
         timeoutMicros,
         reply -> {
           if (reply.status() == 429) {
-            throttled(path);
+            requests.drain(nowMicros);
+            writes.drain(nowMicros);
           }
           handler.on(reply);
         });
   }
 
-  /** Commits are refused for their writes long before they are for their number. */
-  private void throttled(String path) {
-    if (path.equals(COMMIT)) {
-      writes.drain(nowMicros);
-      writeRate.refused(nowMicros);
-    } else {
-      requests.drain(nowMicros);
-    }
-  }
-
   /** A call that goes even when its tokens are used up. */
   public void urgent(
       String method, String path, Object body, long timeoutMicros, Outbox.ReplyHandler handler) {
