--- a/src/test/java/gladeknot/placement/SliceTest.java
+++ b/src/test/java/gladeknot/placement/SliceTest.java
@@ -1,6 +1,7 @@
 package gladeknot.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gladeknot.jobs.JobSpec;
@@ -86,6 +87,18 @@
         pieces.get("g/sl/2/w0"));
   }
 
+  /** It is asked for in every step; worked out each time it made large fleets too slow. */
+  @Test
+  void aSlicesKeyIsWorkedOutOnceALayout() {
+    int[] split = {1};
+    Slice s = new Slice(new RecordLayout(() -> split[0]), false, 1, 3, "req-1");
+    String before = s.wantedKey();
+    assertSame(before, s.wantedKey());
+    split[0] = 4;
+    assertTrue(s.wantedKey().startsWith("g/sl/1/a16-"));
+    assertSame(s.wantedKey(), s.wantedKey());
+  }
+
   @Test
   void aClaimLeavesTheRest() throws JobSpec.MalformedJobException {
     Slice s = slice(10);
