--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -5,24 +5,24 @@
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
 import gladeknot.jobs.Job;
-import gladeknot.jobs.JobBook;
+import gladeknot.jobs.JobRegistry;
+import gladeknot.jobs.JobRequestHandler;
 import gladeknot.jobs.JobSpec;
-import gladeknot.jobs.JobsDesk;
-import gladeknot.ledger.Ledger;
 import gladeknot.membership.Membership;
-import gladeknot.peer.Hint;
+import gladeknot.peer.PeerMessage;
 import gladeknot.placement.Placer;
-import gladeknot.placement.Recorder;
+import gladeknot.placement.RecordWriter;
 import gladeknot.placement.Scheduler;
 import gladeknot.placement.Slice;
-import gladeknot.placement.SliceBook;
+import gladeknot.placement.SliceRegistry;
 import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
+import gladeknot.state.StateStore;
 import gladeknot.teams.Budgets;
 import gladeknot.workers.Report;
 import gladeknot.workers.Worker;
-import gladeknot.workers.WorkerBook;
-import gladeknot.workers.WorkerDesk;
+import gladeknot.workers.WorkerRegistry;
+import gladeknot.workers.WorkerRequestHandler;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -31,16 +31,16 @@
  * The whole controller as a state machine: time, requests and replies go in, calls and answers come
  * out of its {@link Outbox}.
  */
-public final class Core implements Ledger.Listener {
+public final class Core implements StateStore.Listener {
   private final Outbox outbox = new Outbox();
-  private final Ledger ledger;
+  private final StateStore stateStore;
   private final Membership membership;
-  private final JobBook jobs;
-  private final JobsDesk jobsDesk;
-  private final WorkerBook workers = new WorkerBook();
-  private WorkerDesk workerDesk;
-  private final SliceBook slices;
-  private final Recorder recorder;
+  private final JobRegistry jobs;
+  private final JobRequestHandler jobRequests;
+  private final WorkerRegistry workers = new WorkerRegistry();
+  private WorkerRequestHandler workerRequests;
+  private final SliceRegistry slices;
+  private final RecordWriter recordWriter;
   private final Scheduler scheduler;
   private final Placer placer;
   private final Budgets budgets;
@@ -50,12 +50,12 @@
   public Core(Settings settings, Policy policy, RandomGenerator random) {
     policy.settings(settings);
     nodeName = settings.node();
-    ledger = new Ledger(settings, outbox, random, this);
+    stateStore = new StateStore(settings, outbox, random, this);
     membership =
         new Membership(
             settings,
             policy,
-            ledger,
+            stateStore,
             new Membership.Listener() {
               @Override
               public void gained(int shard) {
@@ -72,13 +72,16 @@
                 return scheduler.silent(shard);
               }
             });
-    jobs = new JobBook(this::jobChanged);
-    slices = new SliceBook(membership.shards(), ledger, workers);
-    recorder = new Recorder(settings, ledger, membership, jobs, slices);
+    jobs = new JobRegistry(this::jobChanged);
+    slices = new SliceRegistry(membership.shards(), stateStore, workers);
+    recordWriter = new RecordWriter(settings, stateStore, membership, jobs, slices);
     scheduler =
-        new Scheduler(settings, membership, jobs, slices, workers, recorder, outbox, this::cacheGb);
-    budgets = new Budgets(settings, ledger, membership, slices, recorder, outbox);
-    fleet = new Fleet(settings, policy, ledger, membership, workers, recorder, scheduler, outbox);
+        new Scheduler(
+            settings, membership, jobs, slices, workers, recordWriter, outbox, this::cacheGb);
+    budgets = new Budgets(settings, stateStore, membership, slices, recordWriter, outbox);
+    fleet =
+        new Fleet(
+            settings, policy, stateStore, membership, workers, recordWriter, scheduler, outbox);
     placer =
         new Placer(
             settings,
@@ -87,26 +90,26 @@
             jobs,
             slices,
             workers,
-            recorder,
+            recordWriter,
             budgets,
             scheduler,
             fleet::type,
             fleet::zonesOffered);
     fleet.setPlacer(placer);
-    recorder.afterCommit(
+    recordWriter.afterCommit(
         () -> {
           scheduler.touch();
-          workerDesk.release();
+          workerRequests.release();
         });
-    jobsDesk = new JobsDesk(settings, ledger, jobs, outbox, new DeskView());
-    workerDesk =
-        new WorkerDesk(
+    jobRequests = new JobRequestHandler(settings, stateStore, jobs, outbox, new JobSurroundings());
+    workerRequests =
+        new WorkerRequestHandler(
             settings,
-            ledger,
+            stateStore,
             membership,
             workers,
             outbox,
-            new WorkerDesk.Sync() {
+            new WorkerRequestHandler.Sync() {
               @Override
               public List<Map<String, Object>> orders(Worker worker, Report report) {
                 return scheduler.orders(worker, report);
@@ -159,21 +162,21 @@
     // First of all what the others are entitled to is judged by this time, also after a stall.
     membership.now(nowMicros);
     slices.tick(nowMicros);
-    ledger.tick(nowMicros);
+    stateStore.tick(nowMicros);
     membership.tick(nowMicros);
-    workerDesk.tick(nowMicros);
-    jobsDesk.tick(nowMicros, wallMicros);
+    workerRequests.tick(nowMicros);
+    jobRequests.tick(nowMicros, wallMicros);
     scheduler.tick(nowMicros);
     budgets.tick(nowMicros);
     placer.tick(nowMicros, wallMicros);
     fleet.tick(nowMicros, wallMicros);
-    recorder.tick(nowMicros);
+    recordWriter.tick(nowMicros);
   }
 
   /** Takes in what another controller tells. */
-  public void hint(Hint hint) {
-    budgets.hint(hint);
-    scheduler.withdrawnElsewhere(hint.withdrawn());
+  public void message(PeerMessage message) {
+    budgets.message(message);
+    scheduler.withdrawnElsewhere(message.withdrawn());
   }
 
   /** Takes a request; its answer comes out of the outbox under the same number. */
@@ -188,12 +191,12 @@
       }
       case "/work" -> {
         if (allowed(id, method, "POST")) {
-          jobsDesk.submit(id, body);
+          jobRequests.submit(id, body);
         }
       }
       case "/hello" -> {
         if (allowed(id, method, "POST")) {
-          workerDesk.hello(id, body);
+          workerRequests.hello(id, body);
         }
       }
       default -> ofJob(id, method, path);
@@ -206,7 +209,7 @@
     if (named && parts.length == 3) {
       if (allowed(id, method, "GET")) {
         if (JobSpec.isId(parts[2])) {
-          jobsDesk.poll(id, parts[2]);
+          jobRequests.poll(id, parts[2]);
         } else {
           outbox.answer(id, 404, Json.of("error", "no such job"));
         }
@@ -214,7 +217,7 @@
     } else if (named && parts.length == 4 && parts[3].equals("abort")) {
       if (allowed(id, method, "POST")) {
         if (JobSpec.isId(parts[2])) {
-          jobsDesk.abort(id, parts[2]);
+          jobRequests.abort(id, parts[2]);
         } else {
           outbox.answer(id, 404, Json.of("error", "no such job"));
         }
@@ -233,7 +236,7 @@
   }
 
   private void health(long id) {
-    if (ledger.loaded() && membership.entitled() && fleet.typesKnown()) {
+    if (stateStore.loaded() && membership.entitled() && fleet.typesKnown()) {
       outbox.answer(id, 200, Json.of("ok", true));
     } else {
       outbox.comeBack(id, 503, "not ready", 1);
@@ -241,7 +244,7 @@
   }
 
   @Override
-  public void changed(String key, Ledger.Entry before, Ledger.Entry now) {
+  public void changed(String key, StateStore.Entry before, StateStore.Entry now) {
     if (key.startsWith(Job.KEYS)) {
       jobs.changed(key, now);
     } else if (key.startsWith(Slice.KEYS)) {
@@ -264,16 +267,16 @@
   }
 
   private void shardGained(int shard) {
-    recorder.gained(shard);
+    recordWriter.gained(shard);
     scheduler.touch();
   }
 
   private void shardLost(int shard) {
-    recorder.lost(shard);
+    recordWriter.lost(shard);
     workers.forget(shard);
   }
 
-  private final class DeskView implements JobsDesk.Surroundings {
+  private final class JobSurroundings implements JobRequestHandler.Surroundings {
     @Override
     public boolean typesKnown() {
       return fleet.typesKnown();
@@ -296,7 +299,7 @@
 
     @Override
     public void withdrawn(List<String> ids) {
-      outbox.hint(Hint.ofWithdrawn(nodeName, ids));
+      outbox.message(PeerMessage.ofWithdrawn(nodeName, ids));
     }
   }
 }
--- a/src/main/java/gladeknot/app/Service.java
+++ b/src/main/java/gladeknot/app/Service.java
@@ -38,7 +38,7 @@
     int most = Math.max(50, settings.maxConnections() - OWN_SOCKETS);
     this.server = new HttpServer(this::request, most);
     this.caller = new HttpCaller(group, this::reply);
-    this.peers = new PeerLinks(settings, group, core::hint);
+    this.peers = new PeerLinks(settings, group, core::message);
   }
 
   /** Starts; the event loop's thread keeps the process running. */
@@ -98,7 +98,7 @@
         var calls = core.outbox().takeCalls();
         answers.forEach(server::answer);
         calls.forEach(caller::call);
-        core.outbox().takeHints().forEach(peers::send);
+        core.outbox().takeMessages().forEach(peers::send);
         more = !answers.isEmpty() || !calls.isEmpty();
       }
     } finally {
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -4,19 +4,19 @@
 import gladeknot.http.Outbox;
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobSpec;
-import gladeknot.ledger.Ledger;
-import gladeknot.ledger.Tokens;
 import gladeknot.membership.Membership;
 import gladeknot.placement.Attempt;
 import gladeknot.placement.Placer;
-import gladeknot.placement.Recorder;
+import gladeknot.placement.RecordWriter;
 import gladeknot.placement.Scheduler;
 import gladeknot.placement.Slice;
 import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
+import gladeknot.state.StateStore;
+import gladeknot.state.TokenBucket;
 import gladeknot.workers.Report;
 import gladeknot.workers.Worker;
-import gladeknot.workers.WorkerBook;
+import gladeknot.workers.WorkerRegistry;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -84,13 +84,13 @@
 
   private final Settings settings;
   private final Policy policy;
-  private final Ledger ledger;
+  private final StateStore stateStore;
   private final Membership membership;
-  private final WorkerBook workers;
-  private final Recorder recorder;
+  private final WorkerRegistry workers;
+  private final RecordWriter recordWriter;
   private final Scheduler scheduler;
   private final Outbox outbox;
-  private final Tokens tokens;
+  private final TokenBucket tokens;
   private Placer placer;
   private final Offers offers = new Offers();
   private final List<Rental> rentals = new ArrayList<>();
@@ -119,22 +119,22 @@
   public Fleet(
       Settings settings,
       Policy policy,
-      Ledger ledger,
+      StateStore stateStore,
       Membership membership,
-      WorkerBook workers,
-      Recorder recorder,
+      WorkerRegistry workers,
+      RecordWriter recordWriter,
       Scheduler scheduler,
       Outbox outbox) {
     this.settings = settings;
     this.policy = policy;
-    this.ledger = ledger;
+    this.stateStore = stateStore;
     this.membership = membership;
     this.workers = workers;
-    this.recorder = recorder;
+    this.recordWriter = recordWriter;
     this.scheduler = scheduler;
     this.outbox = outbox;
     double rps = settings.cloudLimits().rps() / settings.nodes().size();
-    this.tokens = new Tokens(rps * 0.9, rps * 1.8);
+    this.tokens = new TokenBucket(rps * 0.9, rps * 1.8);
   }
 
   public void setPlacer(Placer placer) {
@@ -164,7 +164,7 @@
     if (!askingTypes && now >= nextTypesMicros) {
       askTypes();
     }
-    if (now < nextStepMicros || !ledger.loaded() || !typesKnown()) {
+    if (now < nextStepMicros || !stateStore.loaded() || !typesKnown()) {
       return;
     }
     nextStepMicros = now + STEP_MICROS;
@@ -640,7 +640,8 @@
   }
 
   private void edit(String host, int shard, String from, String to, Consumer<Boolean> then) {
-    recorder.add(new Recorder.Edit(shard, Worker.key(host), Worker.field(host), from, to, then));
+    recordWriter.add(
+        new RecordWriter.FieldChange(shard, Worker.key(host), Worker.field(host), from, to, then));
   }
 
   /** A machine that reports and that nobody has entered. */
--- a/src/main/java/gladeknot/http/Outbox.java
+++ b/src/main/java/gladeknot/http/Outbox.java
@@ -1,6 +1,6 @@
 package gladeknot.http;
 
-import gladeknot.peer.Hint;
+import gladeknot.peer.PeerMessage;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -36,7 +36,7 @@
 
   private final List<Call> calls = new ArrayList<>();
   private final List<Answer> answers = new ArrayList<>();
-  private final List<Hint> hints = new ArrayList<>();
+  private final List<PeerMessage> messages = new ArrayList<>();
   private final Map<Long, ReplyHandler> waiting = new HashMap<>();
   private long nextId = 1;
 
@@ -71,13 +71,13 @@
   }
 
   /** Tells the other controllers something; it may get lost. */
-  public void hint(Hint hint) {
-    hints.add(hint);
+  public void message(PeerMessage message) {
+    messages.add(message);
   }
 
-  public List<Hint> takeHints() {
-    List<Hint> taken = List.copyOf(hints);
-    hints.clear();
+  public List<PeerMessage> takeMessages() {
+    List<PeerMessage> taken = List.copyOf(messages);
+    messages.clear();
     return taken;
   }
 
--- a/src/main/java/gladeknot/jobs/Job.java
+++ b/src/main/java/gladeknot/jobs/Job.java
@@ -1,7 +1,7 @@
 package gladeknot.jobs;
 
 import gladeknot.http.Json;
-import gladeknot.ledger.Ledger;
+import gladeknot.state.StateStore;
 import java.util.Map;
 
 /** An accepted job as its key tells it; {@code spec} is null once it is over. */
@@ -15,7 +15,7 @@
     WITHDRAWN
   }
 
-  public static final String KEYS = Ledger.ROOT + "job/";
+  public static final String KEYS = StateStore.ROOT + "job/";
 
   public static String key(String id) {
     return KEYS + id;
@@ -26,7 +26,7 @@
   }
 
   /** Reads a job's key. */
-  static Job read(String id, Ledger.Entry entry) {
+  static Job read(String id, StateStore.Entry entry) {
     Map<String, Object> data = entry.data();
     String phase = Json.text(data, "p");
     int tasks = (int) Json.num(data, "n", 0);
@@ -41,7 +41,7 @@
       int home = (int) Json.num(data, "h", 0);
       long at = Json.num(data, "t", 0);
       return new Job(id, Phase.ACTIVE, spec, home, spec.tasks(), at, entry.stamp());
-    } catch (JobSpec.Malformed e) {
+    } catch (JobSpec.MalformedJobException e) {
       throw new IllegalStateException("job " + id + " is stored malformed: " + e.getMessage(), e);
     }
   }
--- a/src/main/java/gladeknot/jobs/JobBook.java
+++ b/src/main/java/gladeknot/jobs/JobRegistry.java
@@ -1,6 +1,6 @@
 package gladeknot.jobs;
 
-import gladeknot.ledger.Ledger;
+import gladeknot.state.StateStore;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -8,7 +8,7 @@
 import java.util.Set;
 
 /** The jobs that go on, as the followed copy has them; those over stay in the copy alone. */
-public final class JobBook {
+public final class JobRegistry {
   /** Hears of jobs that begin or end; {@code now} is null if a key has gone. */
   public interface Listener {
     void jobChanged(Job before, Job now);
@@ -19,7 +19,7 @@
   private final Listener listener;
   private long changes;
 
-  public JobBook(Listener listener) {
+  public JobRegistry(Listener listener) {
     this.listener = listener;
   }
 
@@ -42,7 +42,7 @@
   }
 
   /** Takes in a change of a job's key. */
-  public void changed(String key, Ledger.Entry entry) {
+  public void changed(String key, StateStore.Entry entry) {
     String id = key.substring(Job.KEYS.length());
     changes++;
     Job before = active.get(id);
--- a/src/main/java/gladeknot/jobs/JobsDesk.java
+++ b/src/main/java/gladeknot/jobs/JobRequestHandler.java
@@ -2,10 +2,10 @@
 
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
-import gladeknot.ledger.Ledger;
-import gladeknot.ledger.Ledger.Outcome;
-import gladeknot.ledger.Ledger.Write;
 import gladeknot.settings.Settings;
+import gladeknot.state.StateStore;
+import gladeknot.state.StateStore.Outcome;
+import gladeknot.state.StateStore.Write;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -16,8 +16,8 @@
 import org.slf4j.LoggerFactory;
 
 /** Answers the users: submissions, polls and aborts. */
-public final class JobsDesk {
-  private static final Logger LOG = LoggerFactory.getLogger(JobsDesk.class);
+public final class JobRequestHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(JobRequestHandler.class);
   private static final int MAX_QUEUE = 300;
   private static final long MAX_WAIT_MICROS = 2_500_000;
 
@@ -42,8 +42,8 @@
   private record Pending(long request, String id, JobSpec spec, boolean abort, long sinceMicros) {}
 
   private final Settings settings;
-  private final Ledger ledger;
-  private final JobBook jobs;
+  private final StateStore stateStore;
+  private final JobRegistry jobs;
   private final Outbox outbox;
   private final Surroundings around;
   private final ArrayDeque<Pending> queue = new ArrayDeque<>();
@@ -52,10 +52,14 @@
   private long nowMicros;
   private long wallMicros;
 
-  public JobsDesk(
-      Settings settings, Ledger ledger, JobBook jobs, Outbox outbox, Surroundings around) {
+  public JobRequestHandler(
+      Settings settings,
+      StateStore stateStore,
+      JobRegistry jobs,
+      Outbox outbox,
+      Surroundings around) {
     this.settings = settings;
-    this.ledger = ledger;
+    this.stateStore = stateStore;
     this.jobs = jobs;
     this.outbox = outbox;
     this.around = around;
@@ -69,11 +73,11 @@
     } catch (IOException e) {
       outbox.answer(request, 400, Json.of("error", "body: not a JSON object"));
       return;
-    } catch (JobSpec.Malformed e) {
+    } catch (JobSpec.MalformedJobException e) {
       outbox.answer(request, 400, Json.of("error", e.getMessage()));
       return;
     }
-    if (!ledger.loaded()) {
+    if (!stateStore.loaded()) {
       outbox.comeBack(request, 503, "the state is not read yet", 1);
       return;
     }
@@ -126,7 +130,7 @@
   }
 
   private boolean known(String id) {
-    return ledger.get(Job.key(id)) != null;
+    return stateStore.get(Job.key(id)) != null;
   }
 
   /** GET /work/ID. */
@@ -134,18 +138,18 @@
     if (over(request, id, true)) {
       return;
     }
-    if (!ledger.loaded()) {
+    if (!stateStore.loaded()) {
       outbox.comeBack(request, 503, "the state is not read yet", 1);
       return;
     }
-    ledger.barrier(
+    stateStore.barrier(
         () -> answerState(request, id),
         () -> outbox.comeBack(request, 503, "the state service does not answer", 1));
   }
 
   /** Answers if the job is over: that never changes again. */
   private boolean over(long request, String id, boolean counts) {
-    Ledger.Entry entry = ledger.get(Job.key(id));
+    StateStore.Entry entry = stateStore.get(Job.key(id));
     String phase = entry == null ? null : Json.text(entry.data(), "p");
     if (phase == null) {
       return false;
@@ -179,7 +183,7 @@
     if (over(request, id, false)) {
       return;
     }
-    if (!ledger.loaded()) {
+    if (!stateStore.loaded()) {
       outbox.comeBack(request, 503, "the state is not read yet", 1);
       return;
     }
@@ -187,7 +191,7 @@
       enqueue(new Pending(request, id, null, true, nowMicros));
       return;
     }
-    ledger.barrier(
+    stateStore.barrier(
         () -> {
           if (over(request, id, false)) {
             return;
@@ -212,7 +216,7 @@
 
   /** Commits what waits, many requests in one transaction. */
   private void flush() {
-    if (inFlight || queue.isEmpty() || nowMicros < nextMicros || !ledger.loaded()) {
+    if (inFlight || queue.isEmpty() || nowMicros < nextMicros || !stateStore.loaded()) {
       return;
     }
     Map<String, Long> conditions = new LinkedHashMap<>();
@@ -221,7 +225,7 @@
     List<Pending> later = new ArrayList<>();
     int bytes = 0;
     // What there are tokens for goes now: a full batch must not wait for a full bucket.
-    int room = Math.min(settings.stateLimits().txnOps(), Math.max(1, ledger.writesLeft(0)));
+    int room = Math.min(settings.stateLimits().txnOps(), Math.max(1, stateStore.writesLeft(0)));
     while (!queue.isEmpty() && writes.size() < room && bytes < 40_000) {
       Pending p = queue.poll();
       String key = Job.key(p.id());
@@ -248,9 +252,9 @@
       }
       batch.add(p);
     }
-    if (!batch.isEmpty() && ledger.takeWrites(batch.size(), 0)) {
+    if (!batch.isEmpty() && stateStore.takeWrites(batch.size(), 0)) {
       inFlight = true;
-      ledger.commit(conditions, writes, outcome -> finished(outcome, batch));
+      stateStore.commit(conditions, writes, outcome -> finished(outcome, batch));
     } else {
       for (int i = batch.size() - 1; i >= 0; i--) {
         queue.addFirst(batch.get(i));
@@ -285,7 +289,7 @@
       case CONFLICT ->
           // Somebody else changed one of these jobs; with the copy that new, each is looked at
           // anew.
-          ledger.whenAt(
+          stateStore.whenAt(
               outcome.epoch(),
               () -> {
                 queue.addAll(batch);
--- a/src/main/java/gladeknot/jobs/JobSpec.java
+++ b/src/main/java/gladeknot/jobs/JobSpec.java
@@ -49,10 +49,10 @@
   }
 
   /** A submission that breaks the form; the message names the field. */
-  public static final class Malformed extends Exception {
+  public static final class MalformedJobException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    Malformed(String message) {
+    MalformedJobException(String message) {
       super(message);
     }
   }
@@ -89,10 +89,10 @@
   }
 
   /** Reads a submission. */
-  public static JobSpec parse(Map<String, Object> m) throws Malformed {
+  public static JobSpec parse(Map<String, Object> m) throws MalformedJobException {
     String id = text(m, "id");
     if (!isId(id)) {
-      throw new Malformed("id: not of the form req-...");
+      throw new MalformedJobException("id: not of the form req-...");
     }
     String shapeName = text(m, "shape");
     Shape shape =
@@ -100,7 +100,7 @@
           case "array" -> Shape.ARRAY;
           case "ensemble" -> Shape.GANG;
           case "service" -> Shape.SERVICE;
-          default -> throw new Malformed("shape: unknown " + shapeName);
+          default -> throw new MalformedJobException("shape: unknown " + shapeName);
         };
     String rankName = text(m, "rank");
     Rank rank =
@@ -109,11 +109,11 @@
           case "high" -> Rank.HIGH;
           case "normal" -> Rank.NORMAL;
           case "idle" -> Rank.IDLE;
-          default -> throw new Malformed("rank: unknown " + rankName);
+          default -> throw new MalformedJobException("rank: unknown " + rankName);
         };
     Object strands = m.get("strands");
     if (!(strands instanceof Integer count) || count < 1 || count > MAX_TASKS) {
-      throw new Malformed("strands: must be a whole number from 1 to " + MAX_TASKS);
+      throw new MalformedJobException("strands: must be a whole number from 1 to " + MAX_TASKS);
     }
     return new JobSpec(
         id,
@@ -163,42 +163,45 @@
         "dueS", dueMicros == 0 ? null : dueMicros / 1e6);
   }
 
-  private static String text(Map<String, Object> m, String name) throws Malformed {
+  private static String text(Map<String, Object> m, String name) throws MalformedJobException {
     String value = Json.text(m, name);
     if (value == null || value.isEmpty() || value.length() > MAX_TEXT) {
-      throw new Malformed(name + ": must be a text of 1 to " + MAX_TEXT + " characters");
+      throw new MalformedJobException(
+          name + ": must be a text of 1 to " + MAX_TEXT + " characters");
     }
     return value;
   }
 
-  private static String optionalText(Map<String, Object> m, String name) throws Malformed {
+  private static String optionalText(Map<String, Object> m, String name)
+      throws MalformedJobException {
     return m.get(name) == null ? null : text(m, name);
   }
 
   private static double amount(Map<String, Object> m, String name, boolean aboveZero)
-      throws Malformed {
+      throws MalformedJobException {
     double value = Json.real(m, name, Double.NaN);
     if (!(value >= 0) || value > MAX_AMOUNT || (aboveZero && value <= 0)) {
-      throw new Malformed(name + ": must be a number " + (aboveZero ? "above 0" : "of 0 or more"));
+      throw new MalformedJobException(
+          name + ": must be a number " + (aboveZero ? "above 0" : "of 0 or more"));
     }
     return value;
   }
 
-  private static boolean flag(Map<String, Object> m, String name) throws Malformed {
+  private static boolean flag(Map<String, Object> m, String name) throws MalformedJobException {
     if (!(m.get(name) instanceof Boolean b)) {
-      throw new Malformed(name + ": must be true or false");
+      throw new MalformedJobException(name + ": must be true or false");
     }
     return b;
   }
 
-  private static List<String> types(Map<String, Object> m) throws Malformed {
+  private static List<String> types(Map<String, Object> m) throws MalformedJobException {
     Object value = m.get("hosttypes");
     if (value == null) {
       return null;
     }
     List<String> types = Json.texts(m, "hosttypes");
     if (!(value instanceof List<?> list) || list.isEmpty() || list.size() != types.size()) {
-      throw new Malformed("hosttypes: must be null or a list of names");
+      throw new MalformedJobException("hosttypes: must be null or a list of names");
     }
     return types;
   }
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -1,11 +1,11 @@
 package gladeknot.membership;
 
 import gladeknot.http.Json;
-import gladeknot.ledger.Ledger;
-import gladeknot.ledger.Ledger.Result;
-import gladeknot.ledger.Ledger.Write;
 import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
+import gladeknot.state.StateStore;
+import gladeknot.state.StateStore.Result;
+import gladeknot.state.StateStore.Write;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -25,10 +25,10 @@
  */
 public final class Membership {
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
-  private static final String ALIVE = Ledger.ROOT + "alive/";
-  private static final String SHARD = Ledger.ROOT + "shard/";
-  private static final String CARE = Ledger.ROOT + "care/";
-  private static final String TERM = Ledger.ROOT + "term";
+  private static final String ALIVE = StateStore.ROOT + "alive/";
+  private static final String SHARD = StateStore.ROOT + "shard/";
+  private static final String CARE = StateStore.ROOT + "care/";
+  private static final String TERM = StateStore.ROOT + "term";
 
   private static final long CALL_MICROS = 2_000_000;
 
@@ -54,7 +54,7 @@
   private final Settings settings;
   private final List<String> nodes;
   private final int home;
-  private final Ledger ledger;
+  private final StateStore stateStore;
   private final Listener listener;
   private final LeaseTimes times;
   private final long ttlMicros;
@@ -81,11 +81,11 @@
   private boolean moving;
   private long nextMoveMicros;
 
-  public Membership(Settings settings, Policy policy, Ledger ledger, Listener listener) {
+  public Membership(Settings settings, Policy policy, StateStore stateStore, Listener listener) {
     this.settings = settings;
     this.nodes = settings.nodes();
     this.home = nodes.indexOf(settings.node());
-    this.ledger = ledger;
+    this.stateStore = stateStore;
     this.listener = listener;
     this.times = LeaseTimes.of(settings.workers(), policy.micros(Policy.Name.STATE_LEASE));
     this.ttlMicros = times.stateLeaseMicros();
@@ -124,7 +124,7 @@
   public boolean entitled() {
     return alive
         && announced()
-        && nowMicros < times.actsUntilMicros(renewedMicros, ledger.freshMicros());
+        && nowMicros < times.actsUntilMicros(renewedMicros, stateStore.freshMicros());
   }
 
   /**
@@ -133,12 +133,12 @@
    * so that little waits for this.
    */
   public boolean startsFor(int shard) {
-    return actsFor(shard) && nowMicros - ledger.freshMicros() < ttlMicros / 3;
+    return actsFor(shard) && nowMicros - stateStore.freshMicros() < ttlMicros / 3;
   }
 
   /** Whether the liveness key is there under the present lease, as far as the copy tells. */
   private boolean announced() {
-    Ledger.Entry entry = ledger.get(ALIVE + settings.node());
+    StateStore.Entry entry = stateStore.get(ALIVE + settings.node());
     return grant != 0 && entry != null && Json.num(entry.data(), "inc", 0) == grant;
   }
 
@@ -149,7 +149,7 @@
 
   /** Whether commits for a shard may go: acting, and no former commit's fate is unclear. */
   public boolean commitsFor(int shard) {
-    return actsFor(shard) && !unclear.contains(shard) && ledger.loaded();
+    return actsFor(shard) && !unclear.contains(shard) && stateStore.loaded();
   }
 
   /** This life of this controller: the number of its state lease. */
@@ -168,19 +168,19 @@
 
   /** A shard's term, the token that its workers are shown. */
   public long term(int shard) {
-    Ledger.Entry entry = ledger.get(shardKey(shard));
+    StateStore.Entry entry = stateStore.get(shardKey(shard));
     return entry == null ? 0 : Json.num(entry.data(), "term", 0);
   }
 
   /** The owner of a shard, if its lease is seen to hold. */
   public String liveOwner(int shard) {
-    Ledger.Entry entry = ledger.get(shardKey(shard));
+    StateStore.Entry entry = stateStore.get(shardKey(shard));
     String owner = entry == null ? null : Json.text(entry.data(), "owner");
-    return owner != null && ledger.get(ALIVE + owner) != null ? owner : null;
+    return owner != null && stateStore.get(ALIVE + owner) != null ? owner : null;
   }
 
   public int liveNodes() {
-    return Math.max(1, ledger.under(ALIVE).size());
+    return Math.max(1, stateStore.under(ALIVE).size());
   }
 
   public static String careKey(int shard) {
@@ -194,7 +194,7 @@
 
   /** Until when another controller may renew the leases of a shard's workers. */
   public long caredUntilMicros(int shard) {
-    long stamp = ledger.stamp(careKey(shard));
+    long stamp = stateStore.stamp(careKey(shard));
     if (stamp != careStamp[shard]) {
       careStamp[shard] = stamp;
       caredUntilMicros[shard] = times.delegatedUntilMicros(nowMicros);
@@ -222,18 +222,18 @@
       caring[shard] = 0;
       caringUntilMicros[shard] = 0;
     }
-    if (!entitled() || caring[shard] >= MOST_CARES || !ledger.takeWrites(1, 0)) {
+    if (!entitled() || caring[shard] >= MOST_CARES || !stateStore.takeWrites(1, 0)) {
       then.accept(false);
       return;
     }
     caring[shard]++;
     long sent = nowMicros;
-    ledger.commit(
+    stateStore.commit(
         Map.of(
             shardKey(shard),
-            ledger.stamp(shardKey(shard)),
+            stateStore.stamp(shardKey(shard)),
             ALIVE + settings.node(),
-            ledger.stamp(ALIVE + settings.node())),
+            stateStore.stamp(ALIVE + settings.node())),
         List.of(Write.put(careKey(shard), Json.of("by", settings.node(), "term", term))),
         outcome -> {
           boolean done = outcome.result() == Result.DONE && term == term(shard);
@@ -247,12 +247,12 @@
 
   /** Who cares for a shard's workers and could take it, if most of them are silent here. */
   private String rescuer(int shard) {
-    Ledger.Entry care = ledger.get(careKey(shard));
+    StateStore.Entry care = stateStore.get(careKey(shard));
     if (care == null || Json.num(care.data(), "term", 0) != term(shard)) {
       return null;
     }
     String by = Json.text(care.data(), "by");
-    boolean able = !settings.node().equals(by) && ledger.get(ALIVE + by) != null;
+    boolean able = !settings.node().equals(by) && stateStore.get(ALIVE + by) != null;
     return able && caredUntilMicros(shard) > nowMicros && listener.silent(shard) ? by : null;
   }
 
@@ -270,7 +270,7 @@
 
   public void tick(long now) {
     nowMicros = now;
-    if (!ledger.loaded()) {
+    if (!stateStore.loaded()) {
       return;
     }
     if (alive && !announced()) {
@@ -288,7 +288,7 @@
       // The copy must be known to be current for as long as the lease is to hold: a lease that
       // is renewed while the watch is stuck would hide a cancellation or a takeover.
       nextBarrierMicros = now + ttlMicros / 8;
-      ledger.barrier(
+      stateStore.barrier(
           () -> {}, () -> nextBarrierMicros = Math.min(nextBarrierMicros, nowMicros + 700_000));
     }
     if (alive && !moving && now >= nextMoveMicros) {
@@ -302,7 +302,7 @@
     long sent = nowMicros;
     if (grant == 0) {
       alive = false;
-      ledger.urgent(
+      stateStore.urgent(
           "POST",
           "/holds",
           Json.of("ttlMs", ttlMicros / 1000),
@@ -318,7 +318,7 @@
           });
       return;
     }
-    ledger.urgent(
+    stateStore.urgent(
         "POST",
         "/holds/" + grant + "/extend",
         null,
@@ -360,9 +360,9 @@
     }
     String key = ALIVE + settings.node();
     Write write = new Write(key, Json.of("inc", with), with);
-    ledger.takeWrites(1, 0);
-    ledger.commit(
-        Map.of(key, ledger.stamp(key)),
+    stateStore.takeWrites(1, 0);
+    stateStore.commit(
+        Map.of(key, stateStore.stamp(key)),
         List.of(write),
         outcome -> {
           if (outcome.result() == Result.DONE && with == grant) {
@@ -381,7 +381,7 @@
 
   /** The key is up; what others did while it was not must be in the copy before we act. */
   private void settle(long with) {
-    ledger.barrier(
+    stateStore.barrier(
         () -> {
           announcing = false;
           if (with == grant && announced()) {
@@ -400,7 +400,7 @@
   /** One step of moving shards: give ours back, take lapsed ones, make stamps new. */
   private void move() {
     for (int shard = 0; shard < nodes.size(); shard++) {
-      Ledger.Entry entry = ledger.get(shardKey(shard));
+      StateStore.Entry entry = stateStore.get(shardKey(shard));
       String owner = entry == null ? null : Json.text(entry.data(), "owner");
       boolean mine = settings.node().equals(owner);
       boolean thisLife = mine && Json.num(entry.data(), "inc", 0) == grant;
@@ -420,7 +420,7 @@
         if (heir == null && shard != home && nowMicros >= keepUntilMicros[shard]) {
           heir = nodes.get(shard);
         }
-        Ledger.Entry heirAlive = heir == null ? null : ledger.get(ALIVE + heir);
+        StateStore.Entry heirAlive = heir == null ? null : stateStore.get(ALIVE + heir);
         if (heirAlive != null) {
           // The home node is back, or another reaches the workers. From here until the outcome
           // is known no worker of the shard is answered, so that its new owner may count from
@@ -445,7 +445,7 @@
         }
         continue;
       }
-      if (ledger.get(ALIVE + owner) != null) {
+      if (stateStore.get(ALIVE + owner) != null) {
         lapsedSince[shard] = 0;
       } else if (shard == home || waited(shard)) {
         take(shard, entry, settings.node(), grant, Map.of(ALIVE + owner, 0L));
@@ -464,22 +464,22 @@
   }
 
   private boolean take(
-      int shard, Ledger.Entry entry, String to, long inc, Map<String, Long> alsoIf) {
-    if (!ledger.takeWrites(2, 0)) {
+      int shard, StateStore.Entry entry, String to, long inc, Map<String, Long> alsoIf) {
+    if (!stateStore.takeWrites(2, 0)) {
       return false;
     }
-    Ledger.Entry counter = ledger.get(TERM);
+    StateStore.Entry counter = stateStore.get(TERM);
     long term = 1 + (counter == null ? 0 : Json.num(counter.data(), "n", 0));
     Map<String, Long> conditions = new LinkedHashMap<>(alsoIf);
     conditions.put(shardKey(shard), entry == null ? 0 : entry.stamp());
     conditions.put(TERM, counter == null ? 0 : counter.stamp());
     // A former life's or a lapsed life's write must not take anything: the lease must stand.
-    conditions.put(ALIVE + settings.node(), ledger.stamp(ALIVE + settings.node()));
+    conditions.put(ALIVE + settings.node(), stateStore.stamp(ALIVE + settings.node()));
     List<Write> writes = new ArrayList<>();
     writes.add(Write.put(shardKey(shard), Json.of("owner", to, "inc", inc, "term", term)));
     writes.add(Write.put(TERM, Json.of("n", term)));
     moving = true;
-    ledger.commit(
+    stateStore.commit(
         conditions,
         writes,
         outcome -> {
@@ -491,7 +491,7 @@
               if (to.equals(settings.node())) {
                 // Earlier commits of unclear fate are void now; wait until the copy holds all.
                 moving = true;
-                ledger.whenAt(
+                stateStore.whenAt(
                     outcome.epoch(),
                     () -> {
                       moving = false;
@@ -506,7 +506,7 @@
             }
             case CONFLICT -> {
               moving = true;
-              ledger.whenAt(outcome.epoch(), () -> moving = false);
+              stateStore.whenAt(outcome.epoch(), () -> moving = false);
             }
             default -> {
               moving = false;
@@ -521,7 +521,7 @@
   }
 
   private boolean stillMine(int shard) {
-    Ledger.Entry entry = ledger.get(shardKey(shard));
+    StateStore.Entry entry = stateStore.get(shardKey(shard));
     return entry != null
         && settings.node().equals(Json.text(entry.data(), "owner"))
         && Json.num(entry.data(), "inc", 0) == grant;
--- a/src/main/java/gladeknot/peer/PeerLinks.java
+++ b/src/main/java/gladeknot/peer/PeerLinks.java
@@ -35,11 +35,11 @@
 
   private final Settings settings;
   private final EventLoopGroup group;
-  private final Consumer<Hint> handler;
+  private final Consumer<PeerMessage> handler;
   private final Map<String, Channel> channels = new HashMap<>();
   private final Map<String, ChannelFuture> connecting = new HashMap<>();
 
-  public PeerLinks(Settings settings, EventLoopGroup group, Consumer<Hint> handler) {
+  public PeerLinks(Settings settings, EventLoopGroup group, Consumer<PeerMessage> handler) {
     this.settings = settings;
     this.group = group;
     this.handler = handler;
@@ -74,8 +74,8 @@
   }
 
   /** Sends a record to all others; one that is not connected gets a later one. */
-  public void send(Hint hint) {
-    byte[] record = hint.encode();
+  public void send(PeerMessage message) {
+    byte[] record = message.encode();
     for (Settings.Member member : settings.members()) {
       Channel channel = channels.get(member.node());
       if (channel != null && channel.isActive()) {
@@ -130,7 +130,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
       ByteBuf buf = (ByteBuf) msg;
       try {
-        handler.accept(Hint.decode(ByteBufUtil.getBytes(buf)));
+        handler.accept(PeerMessage.decode(ByteBufUtil.getBytes(buf)));
       } catch (IOException e) {
         LOG.error("garbled record from {}: {}", ctx.channel().remoteAddress(), e.toString());
         ctx.close();
--- a/src/main/java/gladeknot/peer/Hint.java
+++ b/src/main/java/gladeknot/peer/PeerMessage.java
@@ -17,7 +17,8 @@
  * <p>A record begins with its format. Whoever reads takes what it knows of a format and leaves what
  * a later version added at the end.
  */
-public record Hint(String from, int shard, long term, List<Short> shorts, List<String> withdrawn) {
+public record PeerMessage(
+    String from, int shard, long term, List<Short> shorts, List<String> withdrawn) {
   /** What a team lacks in a shard, in thousandths. */
   public record Short(String team, long cpus, long gpus) {}
 
@@ -29,13 +30,13 @@
   private static final int MOST_WITHDRAWN = 500;
 
   /** A hint about a shard's budgets. */
-  public static Hint ofShorts(String from, int shard, long term, List<Short> shorts) {
-    return new Hint(from, shard, term, shorts, List.of());
+  public static PeerMessage ofShorts(String from, int shard, long term, List<Short> shorts) {
+    return new PeerMessage(from, shard, term, shorts, List.of());
   }
 
   /** A hint about jobs whose cancellation is committed. */
-  public static Hint ofWithdrawn(String from, List<String> ids) {
-    return new Hint(from, NO_SHARD, 0, List.of(), ids);
+  public static PeerMessage ofWithdrawn(String from, List<String> ids) {
+    return new PeerMessage(from, NO_SHARD, 0, List.of(), ids);
   }
 
   /** The record as it goes over the wire. */
@@ -63,7 +64,7 @@
   }
 
   /** Reads a record; fails with IOException when it is garbled. */
-  public static Hint decode(byte[] record) throws IOException {
+  public static PeerMessage decode(byte[] record) throws IOException {
     DataInputStream in = new DataInputStream(new ByteArrayInputStream(record));
     int format = in.readByte();
     if (format < 1) {
@@ -93,6 +94,6 @@
     if (format <= FORMAT && in.available() > 0) {
       throw new IOException("longer than it says");
     }
-    return new Hint(from, shard, term, shorts, withdrawn);
+    return new PeerMessage(from, shard, term, shorts, withdrawn);
   }
 }
--- a/src/main/java/gladeknot/placement/Attempt.java
+++ b/src/main/java/gladeknot/placement/Attempt.java
@@ -18,7 +18,7 @@
   private final String name;
   private final long decidedMicros;
 
-  /** In the ledger: it may be sent. */
+  /** In the state store: it may be sent. */
   boolean committed;
 
   /** Off its machine for sure; kept until that is committed. */
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -2,14 +2,14 @@
 
 import gladeknot.fleet.MachineType;
 import gladeknot.jobs.Job;
-import gladeknot.jobs.JobBook;
+import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobSpec;
 import gladeknot.membership.Membership;
 import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
 import gladeknot.teams.Budgets;
 import gladeknot.workers.Worker;
-import gladeknot.workers.WorkerBook;
+import gladeknot.workers.WorkerRegistry;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
@@ -136,10 +136,10 @@
   private final Settings settings;
   private final Policy policy;
   private final Membership membership;
-  private final JobBook jobs;
-  private final SliceBook slices;
-  private final WorkerBook workers;
-  private final Recorder recorder;
+  private final JobRegistry jobs;
+  private final SliceRegistry slices;
+  private final WorkerRegistry workers;
+  private final RecordWriter recordWriter;
   private final Budgets budgets;
   private final Scheduler scheduler;
   private final Types types;
@@ -179,10 +179,10 @@
       Settings settings,
       Policy policy,
       Membership membership,
-      JobBook jobs,
-      SliceBook slices,
-      WorkerBook workers,
-      Recorder recorder,
+      JobRegistry jobs,
+      SliceRegistry slices,
+      WorkerRegistry workers,
+      RecordWriter recordWriter,
       Budgets budgets,
       Scheduler scheduler,
       Types types,
@@ -193,7 +193,7 @@
     this.jobs = jobs;
     this.slices = slices;
     this.workers = workers;
-    this.recorder = recorder;
+    this.recordWriter = recordWriter;
     this.budgets = budgets;
     this.scheduler = scheduler;
     this.types = types;
@@ -328,7 +328,7 @@
         pass(shard);
       }
     }
-    recorder.flush();
+    recordWriter.flush();
   }
 
   /** Whether new tasks may go to a worker. */
@@ -495,7 +495,7 @@
     Slice s = w.slice();
     JobSpec spec = w.job().spec();
     int todo = s.todoCount();
-    if (nowMicros < s.restUntilMicros || (recorder.busy(s) && !s.claims.isEmpty())) {
+    if (nowMicros < s.restUntilMicros || (recordWriter.busy(s) && !s.claims.isEmpty())) {
       return 0;
     }
     int allowed = allowedByBudget(spec, shard);
@@ -692,7 +692,7 @@
     room.take(s.cpus(), s.gpus(), s.memory());
     preemption.started(jobs.active(s.job()).spec());
     slices.put(new Attempt(s, task, number, room.worker.host(), nowMicros));
-    recorder.changed(s);
+    recordWriter.changed(s);
   }
 
   /**
@@ -710,7 +710,7 @@
     if (!gang && full.contains(kind(from, spec))) {
       return Math.min(todo, allowedByBudget(spec, shard));
     }
-    if (recorder.busy(from)) {
+    if (recordWriter.busy(from)) {
       // Until the part that it lies in is written, room is held for it: if others got that, they
       // would be stopped for it again.
       return todo;
@@ -758,7 +758,7 @@
       return todo;
     }
     own.claims.put(from, tasks);
-    recorder.changed(own);
+    recordWriter.changed(own);
     LOG.info("claim {} tasks {} from shard {} for shard {}", spec.id(), tasks, from.shard(), shard);
     return todo - tasks.cardinality();
   }
@@ -785,7 +785,7 @@
     // Others with free room come first; those who would have to stop something for a task that
     // is not theirs wait for its own shard, and for those before them.
     int place = Math.floorMod(shard - w.slice().shard(), membership.shards());
-    boolean busy = w.foreign() && recorder.busy(w.slice());
+    boolean busy = w.foreign() && recordWriter.busy(w.slice());
     boolean mayStop =
         !busy && waited >= policy.micros(Policy.Name.STOP_AFTER) + place * FOREIGN_STEP_MICROS;
     preemption.patience(w.guaranteed() && waited >= policy.micros(Policy.Name.STOP_EQUAL_AFTER));
--- a/src/main/java/gladeknot/placement/Preemption.java
+++ b/src/main/java/gladeknot/placement/Preemption.java
@@ -1,7 +1,7 @@
 package gladeknot.placement;
 
 import gladeknot.jobs.Job;
-import gladeknot.jobs.JobBook;
+import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobSpec;
 import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
@@ -30,8 +30,8 @@
 
   private final Settings settings;
   private final Policy policy;
-  private final JobBook jobs;
-  private final SliceBook slices;
+  private final JobRegistry jobs;
+  private final SliceRegistry slices;
 
   /** CPUs and GPUs by team over all shards, worked out anew for each pass. */
   private final Map<String, long[]> used = new HashMap<>();
@@ -41,7 +41,7 @@
   private long seenChanges = -1;
   private long nextGuaranteedMicros;
 
-  Preemption(Settings settings, Policy policy, JobBook jobs, SliceBook slices) {
+  Preemption(Settings settings, Policy policy, JobRegistry jobs, SliceRegistry slices) {
     this.settings = settings;
     this.policy = policy;
     this.jobs = jobs;
--- a/src/main/java/gladeknot/placement/Recorder.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -1,12 +1,12 @@
 package gladeknot.placement;
 
 import gladeknot.jobs.Job;
-import gladeknot.jobs.JobBook;
-import gladeknot.ledger.Ledger;
-import gladeknot.ledger.Ledger.Outcome;
-import gladeknot.ledger.Ledger.Write;
+import gladeknot.jobs.JobRegistry;
 import gladeknot.membership.Membership;
 import gladeknot.settings.Settings;
+import gladeknot.state.StateStore;
+import gladeknot.state.StateStore.Outcome;
+import gladeknot.state.StateStore.Write;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -30,8 +30,8 @@
  * <p>Keys of many slices or many machines are changed field by field: a transaction takes the
  * newest copy of such a key, changes its fields and is conditional on that copy's stamp.
  */
-public final class Recorder {
-  private static final Logger LOG = LoggerFactory.getLogger(Recorder.class);
+public final class RecordWriter {
+  private static final Logger LOG = LoggerFactory.getLogger(RecordWriter.class);
   private static final int MAX_BYTES = 40_000;
   private static final long PAUSE_MICROS = 150_000;
 
@@ -51,18 +51,18 @@
   private static final double LEAST_SHRUNK = 0.05;
 
   /** A change of one whole key for a shard. */
-  public record Extra(
+  public record KeyChange(
       int shard, Write write, Map<String, Long> conditions, Consumer<Boolean> then) {}
 
   /**
    * A change of one field of a packed key for a shard, from one value to another; null stands for
    * none.
    */
-  public record Edit(
+  public record FieldChange(
       int shard, String key, String field, String from, String to, Consumer<Boolean> then) {}
 
   /** A slice as it went into a transaction, and the keys that it relied on. */
-  private record Caught(
+  private record SliceSnapshot(
       Slice slice,
       long version,
       BitSet done,
@@ -72,9 +72,9 @@
       Set<String> keys) {}
 
   private static final class Batch {
-    private final List<Caught> slices = new ArrayList<>();
-    private final List<Extra> extras = new ArrayList<>();
-    private final List<Edit> edits = new ArrayList<>();
+    private final List<SliceSnapshot> slices = new ArrayList<>();
+    private final List<KeyChange> extras = new ArrayList<>();
+    private final List<FieldChange> edits = new ArrayList<>();
     private final List<Write> whole = new ArrayList<>();
     private final Map<String, Map<String, Object>> packed = new LinkedHashMap<>();
     private final Map<String, Long> conditions = new LinkedHashMap<>();
@@ -93,13 +93,13 @@
   }
 
   private final Settings settings;
-  private final Ledger ledger;
+  private final StateStore stateStore;
   private final Membership membership;
-  private final JobBook jobs;
-  private final SliceBook slices;
+  private final JobRegistry jobs;
+  private final SliceRegistry slices;
   private final Set<Slice> dirty = new LinkedHashSet<>();
-  private final ArrayDeque<Extra> extras = new ArrayDeque<>();
-  private final ArrayDeque<Edit> edits = new ArrayDeque<>();
+  private final ArrayDeque<KeyChange> extras = new ArrayDeque<>();
+  private final ArrayDeque<FieldChange> edits = new ArrayDeque<>();
   private Batch inFlight;
   private boolean waiting;
   private boolean claimsNext;
@@ -108,10 +108,14 @@
   private long nowMicros;
   private Runnable afterCommit = () -> {};
 
-  public Recorder(
-      Settings settings, Ledger ledger, Membership membership, JobBook jobs, SliceBook slices) {
+  public RecordWriter(
+      Settings settings,
+      StateStore stateStore,
+      Membership membership,
+      JobRegistry jobs,
+      SliceRegistry slices) {
     this.settings = settings;
-    this.ledger = ledger;
+    this.stateStore = stateStore;
     this.membership = membership;
     this.jobs = jobs;
     this.slices = slices;
@@ -131,11 +135,11 @@
     dirty.add(slice);
   }
 
-  public void add(Extra extra) {
+  public void add(KeyChange extra) {
     extras.add(extra);
   }
 
-  public void add(Edit edit) {
+  public void add(FieldChange edit) {
     edits.add(edit);
   }
 
@@ -175,13 +179,13 @@
     if (batch.operations() == 0) {
       return;
     }
-    if (!ledger.takeWrites(batch.operations(), 0)) {
+    if (!stateStore.takeWrites(batch.operations(), 0)) {
       batch.extras.forEach(extras::addFirst);
       batch.edits.forEach(edits::addFirst);
       return;
     }
     inFlight = batch;
-    ledger.commit(batch.conditions, batch.writes(), this::finished);
+    stateStore.commit(batch.conditions, batch.writes(), this::finished);
   }
 
   /**
@@ -192,11 +196,12 @@
     int most = settings.stateLimits().valueBytes();
     for (String key : List.copyOf(batch.packed.keySet())) {
       Map<String, Object> data = batch.packed.get(key);
-      if (data == null || !key.startsWith(Slice.KEYS) || SliceBook.bytes(data) + 2 <= most) {
+      if (data == null || !key.startsWith(Slice.KEYS) || SliceRegistry.bytes(data) + 2 <= most) {
         continue;
       }
       LOG.info("{} would be too large", key);
-      List<Caught> dropped = batch.slices.stream().filter(c -> c.keys().contains(key)).toList();
+      List<SliceSnapshot> dropped =
+          batch.slices.stream().filter(c -> c.keys().contains(key)).toList();
       boolean claims = dropped.stream().anyMatch(c -> !c.claims().isEmpty());
       if (claims) {
         // What is taken and whom it is taken from go together or not at all.
@@ -213,7 +218,7 @@
 
   /** How many writes a transaction may have by its size and by the tokens that are left. */
   private int room(double keep) {
-    return Math.min(mostOperations(), ledger.writesLeft(keep));
+    return Math.min(mostOperations(), stateStore.writesLeft(keep));
   }
 
   private int mostOperations() {
@@ -307,7 +312,7 @@
   }
 
   private static boolean claimTwice(Slice s, Batch batch) {
-    for (Caught c : batch.slices) {
+    for (SliceSnapshot c : batch.slices) {
       if (c.slice().job().equals(s.job())) {
         return true;
       }
@@ -317,7 +322,7 @@
 
   private void gatherOthers(Batch batch, int room) {
     for (int n = edits.size(); n > 0; n--) {
-      Edit e = edits.poll();
+      FieldChange e = edits.poll();
       if (!mayGo(e.shard(), () -> e.then().accept(false))) {
         if (membership.owned().contains(e.shard())) {
           edits.add(e);
@@ -339,7 +344,7 @@
       shardCondition(e.shard(), batch);
     }
     for (int n = extras.size(); n > 0 && batch.operations() < room; n--) {
-      Extra e = extras.poll();
+      KeyChange e = extras.poll();
       if (!mayGo(e.shard(), () -> e.then().accept(false))) {
         if (membership.owned().contains(e.shard())) {
           extras.add(e);
@@ -374,7 +379,7 @@
     if (data == null) {
       data = new HashMap<>(slices.data(key));
       batch.packed.put(key, data);
-      batch.conditions.put(key, ledger.stamp(key));
+      batch.conditions.put(key, stateStore.stamp(key));
       batch.bytes += slices.bytes(key);
     }
     if (value == null) {
@@ -400,7 +405,7 @@
 
   private void shardCondition(int shard, Batch batch) {
     String key = Membership.shardKey(shard);
-    batch.conditions.put(key, ledger.stamp(key));
+    batch.conditions.put(key, stateStore.stamp(key));
   }
 
   /** Starts of a job that is over are not written any more. */
@@ -438,8 +443,8 @@
     String record = job == null && live.isEmpty() ? null : s.record();
     Map<String, Object> data = batch.packed.get(s.key());
     int size =
-        (data == null ? slices.bytes(s.key()) : SliceBook.bytes(data))
-            + (record == null ? 0 : record.length() + s.job().length() + SliceBook.FIELD_BYTES);
+        (data == null ? slices.bytes(s.key()) : SliceRegistry.bytes(data))
+            + (record == null ? 0 : record.length() + s.job().length() + SliceRegistry.FIELD_BYTES);
     if (s.starts() && size > settings.stateLimits().valueBytes()) {
       // The part is full: its tasks wait until others have ended, or are claimed.
       reload(s);
@@ -451,9 +456,9 @@
       // Taking tasks from a slice may make its record longer, or its first: a full part has no
       // room.
       Map<String, Object> there = batch.packed.get(from.key());
-      int bytes = there == null ? slices.bytes(from.key()) : SliceBook.bytes(there);
+      int bytes = there == null ? slices.bytes(from.key()) : SliceRegistry.bytes(there);
       String left = from.record(without(from.assigned, claim.getValue()));
-      int more = left.length() + from.job().length() + SliceBook.FIELD_BYTES;
+      int more = left.length() + from.job().length() + SliceRegistry.FIELD_BYTES;
       if (bytes + more > settings.stateLimits().valueBytes()) {
         reload(s);
         from.restUntilMicros = nowMicros + FULL_MICROS;
@@ -481,7 +486,7 @@
         // that is not known here came from one that is, whose part was written with it.
         for (Slice other : slices.of(s.job())) {
           if (other != s) {
-            batch.conditions.put(other.key(), ledger.stamp(other.key()));
+            batch.conditions.put(other.key(), stateStore.stamp(other.key()));
             keys.add(other.key());
           }
         }
@@ -493,7 +498,7 @@
       keys.add(from.key());
     }
     batch.slices.add(
-        new Caught(
+        new SliceSnapshot(
             s, s.version, (BitSet) s.done.clone(), live, closed, Map.copyOf(s.claims), keys));
   }
 
@@ -513,7 +518,7 @@
         LOG.info("records changed elsewhere: {}", outcome.failed());
         waiting = true;
         inFlight = null;
-        ledger.whenAt(
+        stateStore.whenAt(
             outcome.epoch(),
             () -> {
               waiting = false;
@@ -537,7 +542,7 @@
         batch.packed.keySet().forEach(this::sync);
       }
       default -> {
-        if (outcome.result() == Ledger.Result.BAD) {
+        if (outcome.result() == StateStore.Result.BAD) {
           // Too large in some way: never repeated as it is.
           shrunk = Math.max(LEAST_SHRUNK, shrunk / 2);
         }
@@ -554,12 +559,12 @@
   /** Drops what was decided on keys that have changed; the rest of the batch goes again. */
   private void conflict(Batch batch, List<String> failed) {
     batch.packed.keySet().forEach(this::sync);
-    for (Caught c : batch.slices) {
+    for (SliceSnapshot c : batch.slices) {
       if (failed.stream().anyMatch(c.keys()::contains) && dirty.contains(c.slice())) {
         reload(c.slice());
       }
     }
-    for (Extra e : batch.extras) {
+    for (KeyChange e : batch.extras) {
       if (failed.stream().anyMatch(e.conditions()::containsKey)) {
         e.then().accept(false);
       } else {
@@ -569,7 +574,7 @@
     edits.addAll(batch.edits);
   }
 
-  private void saved(Caught c) {
+  private void saved(SliceSnapshot c) {
     Slice s = c.slice();
     if (slices.get(s.shard(), s.job()) != s) {
       // Its job was over before it was known that its first start was committed: the record counts.
@@ -643,7 +648,7 @@
 
   /** A shard has become ours, or its unclear commits have been settled. */
   public void gained(int shard) {
-    for (String key : List.copyOf(ledger.under(Slice.prefix(shard)).keySet())) {
+    for (String key : List.copyOf(stateStore.under(Slice.prefix(shard)).keySet())) {
       sync(key);
     }
     for (Slice s : List.copyOf(slices.of(shard))) {
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -2,14 +2,14 @@
 
 import gladeknot.http.Outbox;
 import gladeknot.jobs.Job;
-import gladeknot.jobs.JobBook;
+import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobSpec.Shape;
-import gladeknot.ledger.Ledger.Write;
 import gladeknot.membership.Membership;
 import gladeknot.settings.Settings;
+import gladeknot.state.StateStore.Write;
 import gladeknot.workers.Report;
 import gladeknot.workers.Worker;
-import gladeknot.workers.WorkerBook;
+import gladeknot.workers.WorkerRegistry;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
@@ -33,11 +33,11 @@
 
   private final Settings settings;
   private final Membership membership;
-  private final JobBook jobs;
-  private final SliceBook slices;
-  private final WorkerBook workers;
-  private final Recorder recorder;
-  private final Stops stops;
+  private final JobRegistry jobs;
+  private final SliceRegistry slices;
+  private final WorkerRegistry workers;
+  private final RecordWriter recordWriter;
+  private final TaskKiller taskKiller;
   private final ImageSizes types;
   private final Estimates estimates = new Estimates();
   private final Set<String> finishing = new HashSet<>();
@@ -53,10 +53,10 @@
   public Scheduler(
       Settings settings,
       Membership membership,
-      JobBook jobs,
-      SliceBook slices,
-      WorkerBook workers,
-      Recorder recorder,
+      JobRegistry jobs,
+      SliceRegistry slices,
+      WorkerRegistry workers,
+      RecordWriter recordWriter,
       Outbox outbox,
       ImageSizes types) {
     this.settings = settings;
@@ -64,8 +64,8 @@
     this.jobs = jobs;
     this.slices = slices;
     this.workers = workers;
-    this.recorder = recorder;
-    this.stops = new Stops(membership, workers, outbox);
+    this.recordWriter = recordWriter;
+    this.taskKiller = new TaskKiller(membership, workers, outbox);
     this.types = types;
   }
 
@@ -90,7 +90,7 @@
 
   public void tick(long now) {
     nowMicros = now;
-    stops.tick(now);
+    taskKiller.tick(now);
     if (now < nextCheckMicros) {
       return;
     }
@@ -115,7 +115,7 @@
     for (Slice s : slices.of(id)) {
       if (membership.owned().contains(s.shard())) {
         stopAll(s);
-        recorder.changed(s);
+        recordWriter.changed(s);
       }
     }
   }
@@ -123,7 +123,7 @@
   /** A part of a shard's record has changed in the copy. */
   public void recordChanged(String key) {
     changed = true;
-    recorder.sync(key);
+    recordWriter.sync(key);
   }
 
   private void stopAll(Slice s) {
@@ -167,14 +167,14 @@
     return kills;
   }
 
-  /** Stops an attempt, by direct commands and again with each report's answer. */
+  /** TaskKiller an attempt, by direct commands and again with each report's answer. */
   void kill(Attempt a, double graceS) {
     if (a.killMicros == 0) {
       a.killMicros = nowMicros;
       LOG.info("kill {} grace {} s term {}", a, graceS, membership.term(a.slice().shard()));
     }
     a.graceS = graceS;
-    stops.add(a);
+    taskKiller.add(a);
   }
 
   static Map<String, Object> order(String verb, String name, long number, double graceS) {
@@ -365,7 +365,7 @@
         }
       }
     }
-    recorder.changed(s);
+    recordWriter.changed(s);
     changed = true;
   }
 
@@ -434,8 +434,8 @@
       }
       finishing.add(job.id());
       String key = Job.key(job.id());
-      recorder.add(
-          new Recorder.Extra(
+      recordWriter.add(
+          new RecordWriter.KeyChange(
               job.home(),
               Write.put(key, Job.over(Job.Phase.DONE, job.tasks())),
               Map.of(key, job.stamp()),
--- a/src/main/java/gladeknot/placement/Slice.java
+++ b/src/main/java/gladeknot/placement/Slice.java
@@ -2,7 +2,7 @@
 
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobSpec;
-import gladeknot.ledger.Ledger;
+import gladeknot.state.StateStore;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -16,7 +16,7 @@
  * <p>For shards of ours this is the working copy, ahead of its record; for others it is the record.
  */
 public final class Slice {
-  public static final String KEYS = Ledger.ROOT + "sl/";
+  public static final String KEYS = StateStore.ROOT + "sl/";
 
   /**
    * A shard's record is cut into parts, each with many slices: few enough that one write serves
@@ -49,7 +49,7 @@
 
   long counter;
 
-  /** Whether the ledger has a record of it. */
+  /** Whether the state store has a record of it. */
   boolean recorded;
 
   /** Tasks that are done by its record. */
--- a/src/main/java/gladeknot/placement/SliceBook.java
+++ b/src/main/java/gladeknot/placement/SliceRegistry.java
@@ -2,9 +2,9 @@
 
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobSpec;
-import gladeknot.ledger.Ledger;
+import gladeknot.state.StateStore;
 import gladeknot.workers.Worker;
-import gladeknot.workers.WorkerBook;
+import gladeknot.workers.WorkerRegistry;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -12,13 +12,13 @@
 import java.util.Map;
 
 /** All slices of jobs that go on or still have tasks on machines. */
-public final class SliceBook {
+public final class SliceRegistry {
   /** Quotes, colon and comma of a field. */
   static final int FIELD_BYTES = 6;
 
   private final int shards;
-  private final Ledger ledger;
-  private final WorkerBook workers;
+  private final StateStore stateStore;
+  private final WorkerRegistry workers;
   private final List<Map<String, Slice>> byShard = new ArrayList<>();
 
   /** The parts of records from which the slices were loaded. */
@@ -30,9 +30,9 @@
 
   private long nowMicros;
 
-  public SliceBook(int shards, Ledger ledger, WorkerBook workers) {
+  public SliceRegistry(int shards, StateStore stateStore, WorkerRegistry workers) {
     this.shards = shards;
-    this.ledger = ledger;
+    this.stateStore = stateStore;
     this.workers = workers;
     for (int i = 0; i < shards; i++) {
       byShard.add(new HashMap<>());
@@ -137,7 +137,7 @@
 
   /** A part of a shard's record as the followed copy has it: records by job. */
   Map<String, Object> data(String key) {
-    Ledger.Entry entry = ledger.get(key);
+    StateStore.Entry entry = stateStore.get(key);
     return entry == null ? Map.of() : entry.data();
   }
 
--- a/src/main/java/gladeknot/placement/Stops.java
+++ b/src/main/java/gladeknot/placement/TaskKiller.java
@@ -5,7 +5,7 @@
 import gladeknot.membership.Membership;
 import gladeknot.workers.Report;
 import gladeknot.workers.Worker;
-import gladeknot.workers.WorkerBook;
+import gladeknot.workers.WorkerRegistry;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -18,7 +18,7 @@
  * reach us, or is out of reach when the end of its task is decided, gets it as soon as it can. Each
  * kill also goes with the answers to the machine's reports; this is the shorter way, not the proof.
  */
-final class Stops {
+final class TaskKiller {
   private static final long CALL_MICROS = 3_000_000;
 
   /** Between two tries at one machine. */
@@ -28,7 +28,7 @@
   private static final int MOST_OPEN = 40;
 
   /** What waits for one machine. */
-  private static final class Errand {
+  private static final class PendingKills {
     private final Set<Attempt> attempts = new LinkedHashSet<>();
     private long nextMicros;
     private boolean open;
@@ -36,13 +36,13 @@
   }
 
   private final Membership membership;
-  private final WorkerBook workers;
+  private final WorkerRegistry workers;
   private final Outbox outbox;
-  private final Map<String, Errand> errands = new LinkedHashMap<>();
+  private final Map<String, PendingKills> pending = new LinkedHashMap<>();
   private int open;
   private long nowMicros;
 
-  Stops(Membership membership, WorkerBook workers, Outbox outbox) {
+  TaskKiller(Membership membership, WorkerRegistry workers, Outbox outbox) {
     this.membership = membership;
     this.workers = workers;
     this.outbox = outbox;
@@ -50,7 +50,7 @@
 
   /** Adds a kill; it goes at once if it can. */
   void add(Attempt a) {
-    Errand e = errands.computeIfAbsent(a.host(), h -> new Errand());
+    PendingKills e = pending.computeIfAbsent(a.host(), h -> new PendingKills());
     if (e.attempts.add(a)) {
       e.nextMicros = Math.min(e.nextMicros, nowMicros);
     }
@@ -58,17 +58,17 @@
 
   void tick(long now) {
     nowMicros = now;
-    if (errands.isEmpty()) {
+    if (pending.isEmpty()) {
       return;
     }
-    for (Map.Entry<String, Errand> entry : List.copyOf(errands.entrySet())) {
-      Errand e = entry.getValue();
+    for (Map.Entry<String, PendingKills> entry : List.copyOf(pending.entrySet())) {
+      PendingKills e = entry.getValue();
       if (e.open || now < e.nextMicros) {
         continue;
       }
       e.attempts.removeIf(a -> !wanted(a));
       if (e.attempts.isEmpty()) {
-        errands.remove(entry.getKey());
+        pending.remove(entry.getKey());
       } else if (open < MOST_OPEN) {
         send(entry.getKey(), e);
       }
@@ -80,7 +80,7 @@
     return !a.closed && a.killed() && membership.owned().contains(a.slice().shard());
   }
 
-  private void send(String host, Errand e) {
+  private void send(String host, PendingKills e) {
     Worker w = workers.get(host);
     String endpoint = w == null ? null : w.endpoint();
     e.nextMicros = nowMicros + AGAIN_MICROS;
@@ -129,7 +129,12 @@
   }
 
   private void call(
-      String endpoint, String method, String path, Object body, Errand e, Outbox.ReplyHandler h) {
+      String endpoint,
+      String method,
+      String path,
+      Object body,
+      PendingKills e,
+      Outbox.ReplyHandler h) {
     e.open = true;
     open++;
     outbox.call(
@@ -146,7 +151,7 @@
   }
 
   /** Takes a machine's session from its own word, and tries again at once if it was another. */
-  private void learn(Outbox.Reply reply, Errand e) {
+  private void learn(Outbox.Reply reply, PendingKills e) {
     if (reply.status() != 200 && reply.status() != 409) {
       return;
     }
--- a/src/main/java/gladeknot/placement/Urgency.java
+++ b/src/main/java/gladeknot/placement/Urgency.java
@@ -1,7 +1,7 @@
 package gladeknot.placement;
 
 import gladeknot.jobs.Job;
-import gladeknot.jobs.JobBook;
+import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobSpec;
 import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
@@ -38,8 +38,8 @@
 
   private record Entry(Job job, long workMicros, long runMicros, long dueMicros) {}
 
-  private final JobBook jobs;
-  private final SliceBook slices;
+  private final JobRegistry jobs;
+  private final SliceRegistry slices;
   private final Estimates estimates;
   private final List<Double> times;
   private final Map<String, Map<Double, Boolean>> known = new HashMap<>();
@@ -52,7 +52,12 @@
   private long nextMicros;
   private long seenChanges = -1;
 
-  Urgency(Settings settings, Policy policy, JobBook jobs, SliceBook slices, Estimates estimates) {
+  Urgency(
+      Settings settings,
+      Policy policy,
+      JobRegistry jobs,
+      SliceRegistry slices,
+      Estimates estimates) {
     this.policy = policy;
     this.jobs = jobs;
     this.slices = slices;
--- a/src/main/java/gladeknot/policy/PolicyParser.java
+++ b/src/main/java/gladeknot/policy/PolicyParser.java
@@ -18,11 +18,11 @@
     }
   }
 
-  private static final class Wrong extends RuntimeException {
+  private static final class PolicySyntaxException extends RuntimeException {
     private static final long serialVersionUID = 1L;
     private final int column;
 
-    Wrong(int column, String message) {
+    PolicySyntaxException(int column, String message) {
       super(message, null, false, false);
       this.column = column;
     }
@@ -67,7 +67,7 @@
         if (!tokens.isEmpty()) {
           rule(rules);
         }
-      } catch (Wrong e) {
+      } catch (PolicySyntaxException e) {
         faults.add(new Fault(number, e.column, e.getMessage()));
       }
     }
@@ -78,19 +78,19 @@
     Token name = take();
     Type wanted = settable.get(name.text());
     if (wanted == null) {
-      throw new Wrong(name.column(), "unknown name " + name.text());
+      throw new PolicySyntaxException(name.column(), "unknown name " + name.text());
     }
     if (rules.containsKey(name.text())) {
-      throw new Wrong(name.column(), name.text() + " is set twice");
+      throw new PolicySyntaxException(name.column(), name.text() + " is set twice");
     }
     expect("=");
     int column = column();
     Expression value = or();
     if (next < tokens.size()) {
-      throw new Wrong(column(), "unexpected " + tokens.get(next).text());
+      throw new PolicySyntaxException(column(), "unexpected " + tokens.get(next).text());
     }
     if (value.type() != wanted) {
-      throw new Wrong(
+      throw new PolicySyntaxException(
           column, name.text() + " must be a " + word(wanted) + ", this is a " + word(value.type()));
     }
     rules.put(name.text(), value);
@@ -106,7 +106,7 @@
     int at = 0;
     while (at < line.length()) {
       if (!m.find(at) || m.start() != at) {
-        throw new Wrong(at + 1, "unexpected character " + line.charAt(at));
+        throw new PolicySyntaxException(at + 1, "unexpected character " + line.charAt(at));
       }
       if (m.group("t") != null) {
         found.add(new Token(m.group("t"), at + 1));
@@ -122,7 +122,7 @@
 
   private Token take() {
     if (next >= tokens.size()) {
-      throw new Wrong(end, "something is missing here");
+      throw new PolicySyntaxException(end, "something is missing here");
     }
     return tokens.get(next++);
   }
@@ -134,7 +134,7 @@
   private void expect(String text) {
     int column = column();
     if (!at(text)) {
-      throw new Wrong(column, "expected " + text);
+      throw new PolicySyntaxException(column, "expected " + text);
     }
     next++;
   }
@@ -157,7 +157,7 @@
 
   private static Expression truths(Token op, Expression left, Expression right) {
     if (left.type() != Type.TRUTH || right.type() != Type.TRUTH) {
-      throw new Wrong(op.column(), op.text() + " joins truth values");
+      throw new PolicySyntaxException(op.column(), op.text() + " joins truth values");
     }
     return new Expression.Binary(Type.TRUTH, op.text(), left, right);
   }
@@ -175,7 +175,7 @@
 
   private static void same(Token op, Expression left, Expression right) {
     if (left.type() != right.type()) {
-      throw new Wrong(
+      throw new PolicySyntaxException(
           op.column(),
           op.text() + " joins a " + word(left.type()) + " and a " + word(right.type()));
     }
@@ -195,7 +195,7 @@
 
   private static void amount(Token op, Expression e) {
     if (e.type() == Type.TRUTH) {
-      throw new Wrong(op.column(), op.text() + " takes no truth values");
+      throw new PolicySyntaxException(op.column(), op.text() + " takes no truth values");
     }
   }
 
@@ -210,12 +210,13 @@
       Type type = left.type();
       if (left.type() == Type.DURATION && right.type() == Type.DURATION) {
         if (times) {
-          throw new Wrong(op.column(), "a duration times a duration has no meaning");
+          throw new PolicySyntaxException(
+              op.column(), "a duration times a duration has no meaning");
         }
         type = Type.NUMBER;
       } else if (right.type() == Type.DURATION) {
         if (!times) {
-          throw new Wrong(op.column(), "a number over a duration has no meaning");
+          throw new PolicySyntaxException(op.column(), "a number over a duration has no meaning");
         }
         type = Type.DURATION;
       }
@@ -226,7 +227,7 @@
 
   private Expression unary() {
     if (++depth > DEEPEST) {
-      throw new Wrong(column(), "too deep");
+      throw new PolicySyntaxException(column(), "too deep");
     }
     try {
       if (at("-")) {
@@ -239,7 +240,7 @@
         Token op = take();
         Expression of = unary();
         if (of.type() != Type.TRUTH) {
-          throw new Wrong(op.column(), "not takes a truth value");
+          throw new PolicySyntaxException(op.column(), "not takes a truth value");
         }
         return new Expression.Negation(of);
       }
@@ -277,7 +278,7 @@
         expect("(");
         Expression c = or();
         if (c.type() != Type.TRUTH) {
-          throw new Wrong(t.column(), "if needs a truth value first");
+          throw new PolicySyntaxException(t.column(), "if needs a truth value first");
         }
         expect(",");
         Expression a = or();
@@ -290,7 +291,7 @@
       default -> {
         Type type = variables.get(t.text());
         if (type == null) {
-          throw new Wrong(t.column(), "unknown variable " + t.text());
+          throw new PolicySyntaxException(t.column(), "unknown variable " + t.text());
         }
         return new Expression.Variable(type, t.text());
       }
--- a/src/main/java/gladeknot/ledger/Ledger.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -1,4 +1,4 @@
-package gladeknot.ledger;
+package gladeknot.state;
 
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
@@ -18,8 +18,8 @@
  * The client of the state service: a followed copy of every key, commits, and the read barrier that
  * tells whether the copy is as new as some moment.
  */
-public final class Ledger {
-  private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+public final class StateStore {
+  private static final Logger LOG = LoggerFactory.getLogger(StateStore.class);
 
   /** All keys lie under one prefix, so that one watch sees every change. */
   public static final String ROOT = "g/";
@@ -85,8 +85,8 @@
   private final Outbox outbox;
   private final Listener listener;
   private final RandomGenerator random;
-  private final Tokens requests;
-  private final Tokens writes;
+  private final TokenBucket requests;
+  private final TokenBucket writes;
   private final TreeMap<String, Entry> view = new TreeMap<>();
   private final Map<String, Long> deletedAt = new HashMap<>();
   private long epoch;
@@ -105,7 +105,7 @@
   private final List<Map.Entry<Long, Runnable>> atEpoch = new ArrayList<>();
   private long nowMicros;
 
-  public Ledger(Settings settings, Outbox outbox, RandomGenerator random, Listener listener) {
+  public StateStore(Settings settings, Outbox outbox, RandomGenerator random, Listener listener) {
     this.address = settings.state();
     this.outbox = outbox;
     this.random = random;
@@ -115,8 +115,8 @@
     // Writes come in bursts at one controller or the other: each may use more than an even part,
     // and gives way when the service says that all together were too many.
     double writeRps = settings.stateLimits().writeRps() * Math.min(0.92, part * WRITE_SHARE);
-    this.requests = new Tokens(rps, rps);
-    this.writes = new Tokens(writeRps, writeRps);
+    this.requests = new TokenBucket(rps, rps);
+    this.writes = new TokenBucket(writeRps, writeRps);
   }
 
   public boolean loaded() {
@@ -393,7 +393,7 @@
         });
   }
 
-  /** Sends a transaction. Tokens are the caller's affair, see {@link #takeWrites}. */
+  /** Sends a transaction. TokenBucket are the caller's affair, see {@link #takeWrites}. */
   public void commit(Map<String, Long> conditions, List<Write> changes, Consumer<Outcome> then) {
     List<Object> ifs = new ArrayList<>();
     conditions.forEach((key, stamp) -> ifs.add(Json.of("path", key, "stamp", stamp)));
--- a/src/main/java/gladeknot/ledger/Tokens.java
+++ b/src/main/java/gladeknot/state/TokenBucket.java
@@ -1,13 +1,13 @@
-package gladeknot.ledger;
+package gladeknot.state;
 
 /** A bucket of tokens, filled at a steady rate up to one second's worth (or a given burst). */
-public final class Tokens {
+public final class TokenBucket {
   private final double ratePerMicro;
   private final double burst;
   private double level;
   private long lastMicros;
 
-  public Tokens(double perSecond, double burst) {
+  public TokenBucket(double perSecond, double burst) {
     this.ratePerMicro = perSecond / 1e6;
     this.burst = burst;
     this.level = burst;
--- a/src/main/java/gladeknot/teams/Budgets.java
+++ b/src/main/java/gladeknot/teams/Budgets.java
@@ -2,14 +2,14 @@
 
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
-import gladeknot.ledger.Ledger;
-import gladeknot.ledger.Ledger.Write;
 import gladeknot.membership.Membership;
-import gladeknot.peer.Hint;
-import gladeknot.placement.Recorder;
+import gladeknot.peer.PeerMessage;
+import gladeknot.placement.RecordWriter;
 import gladeknot.placement.Slice;
-import gladeknot.placement.SliceBook;
+import gladeknot.placement.SliceRegistry;
 import gladeknot.settings.Settings;
+import gladeknot.state.StateStore;
+import gladeknot.state.StateStore.Write;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,7 +27,7 @@
  */
 public final class Budgets {
   private static final Logger LOG = LoggerFactory.getLogger(Budgets.class);
-  private static final String KEYS = Ledger.ROOT + "team/";
+  private static final String KEYS = StateStore.ROOT + "team/";
   private static final long STEP_MICROS = 150_000;
 
   /** Between two changes of one team's budgets: what came of the first must be seen before. */
@@ -63,10 +63,10 @@
   private static final Amount NONE = new Amount(0, 0);
 
   private final Settings settings;
-  private final Ledger ledger;
+  private final StateStore stateStore;
   private final Membership membership;
-  private final SliceBook slices;
-  private final Recorder recorder;
+  private final SliceRegistry slices;
+  private final RecordWriter recordWriter;
   private final Outbox outbox;
   private final Set<String> changing = new HashSet<>();
   private final Map<String, Amount> giving = new HashMap<>();
@@ -82,28 +82,28 @@
 
   public Budgets(
       Settings settings,
-      Ledger ledger,
+      StateStore stateStore,
       Membership membership,
-      SliceBook slices,
-      Recorder recorder,
+      SliceRegistry slices,
+      RecordWriter recordWriter,
       Outbox outbox) {
     this.settings = settings;
-    this.ledger = ledger;
+    this.stateStore = stateStore;
     this.membership = membership;
     this.slices = slices;
-    this.recorder = recorder;
+    this.recordWriter = recordWriter;
     this.outbox = outbox;
   }
 
   private Amount budget(String team, int shard) {
-    Ledger.Entry entry = ledger.get(KEYS + team);
+    StateStore.Entry entry = stateStore.get(KEYS + team);
     if (entry == null) {
       return NONE;
     }
     return new Amount(part(entry, "c", shard), part(entry, "g", shard));
   }
 
-  private static long part(Ledger.Entry entry, String name, int shard) {
+  private static long part(StateStore.Entry entry, String name, int shard) {
     return entry.data().get(name) instanceof List<?> list
             && shard < list.size()
             && list.get(shard) instanceof Number n
@@ -143,7 +143,7 @@
 
   public void tick(long now) {
     nowMicros = now;
-    if (now < nextMicros || !ledger.loaded()) {
+    if (now < nextMicros || !stateStore.loaded()) {
       return;
     }
     nextMicros = now + STEP_MICROS;
@@ -154,7 +154,7 @@
       if (changing.contains(team.name()) || now < restUntilMicros.getOrDefault(team.name(), 0L)) {
         continue;
       }
-      if (ledger.get(KEYS + team.name()) == null) {
+      if (stateStore.get(KEYS + team.name()) == null) {
         create(team);
       } else {
         List.copyOf(membership.owned()).forEach(shard -> give(team, shard));
@@ -181,11 +181,11 @@
     changing.add(team);
     String key = KEYS + team;
     giving.put(team + "/" + shard, given);
-    recorder.add(
-        new Recorder.Extra(
+    recordWriter.add(
+        new RecordWriter.KeyChange(
             shard,
             Write.put(key, data),
-            Map.of(key, ledger.stamp(key)),
+            Map.of(key, stateStore.stamp(key)),
             done -> {
               changing.remove(team);
               restUntilMicros.put(team, nowMicros + REST_MICROS);
@@ -210,16 +210,16 @@
   }
 
   /** Takes in what another controller lacks. */
-  public void hint(Hint hint) {
-    if (hint.shard() >= membership.shards()
-        || hint.term() != membership.term(hint.shard())
-        || membership.owned().contains(hint.shard())) {
+  public void message(PeerMessage message) {
+    if (message.shard() >= membership.shards()
+        || message.term() != membership.term(message.shard())
+        || membership.owned().contains(message.shard())) {
       return;
     }
     Map<String, Amount> map = new TreeMap<>();
-    hint.shorts().forEach(s -> map.put(s.team(), new Amount(s.cpus(), s.gpus())));
-    lacking.put(hint.shard(), map);
-    hintedMicros.put(hint.shard(), nowMicros);
+    message.shorts().forEach(s -> map.put(s.team(), new Amount(s.cpus(), s.gpus())));
+    lacking.put(message.shard(), map);
+    hintedMicros.put(message.shard(), nowMicros);
     nextMicros = 0;
   }
 
@@ -230,9 +230,9 @@
     }
     tellAgainMicros = nowMicros + TELL_MICROS;
     told.put(shard, Map.copyOf(map));
-    List<Hint.Short> shorts = new ArrayList<>();
-    map.forEach((team, a) -> shorts.add(new Hint.Short(team, a.cpus(), a.gpus())));
-    outbox.hint(Hint.ofShorts(settings.node(), shard, membership.term(shard), shorts));
+    List<PeerMessage.Short> shorts = new ArrayList<>();
+    map.forEach((team, a) -> shorts.add(new PeerMessage.Short(team, a.cpus(), a.gpus())));
+    outbox.message(PeerMessage.ofShorts(settings.node(), shard, membership.term(shard), shorts));
   }
 
   private void give(Settings.Team team, int shard) {
--- a/src/main/java/gladeknot/workers/Report.java
+++ b/src/main/java/gladeknot/workers/Report.java
@@ -31,10 +31,10 @@
   }
 
   /** A report that breaks the form. */
-  public static final class Malformed extends Exception {
+  public static final class MalformedJobException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    Malformed(String message) {
+    MalformedJobException(String message) {
       super(message);
     }
   }
@@ -45,16 +45,16 @@
   }
 
   /** Reads a report. */
-  public static Report parse(Map<String, Object> m) throws Malformed {
+  public static Report parse(Map<String, Object> m) throws MalformedJobException {
     List<Task> tasks = new ArrayList<>();
     if (m.get("strands") != null && !(m.get("strands") instanceof List)) {
-      throw new Malformed("strands: must be a list");
+      throw new MalformedJobException("strands: must be a list");
     }
     for (Map<String, Object> t : Json.objects(m, "strands")) {
       String name = text(t, "strand");
       int slash = name.lastIndexOf('/');
       if (slash < 1 || !name.substring(slash + 1).matches("[0-9]{1,6}")) {
-        throw new Malformed("strand: must be job/number");
+        throw new MalformedJobException("strand: must be job/number");
       }
       tasks.add(
           new Task(
@@ -77,17 +77,17 @@
         tasks);
   }
 
-  private static String text(Map<String, Object> m, String name) throws Malformed {
+  private static String text(Map<String, Object> m, String name) throws MalformedJobException {
     String value = Json.text(m, name);
     if (value == null || value.isEmpty()) {
-      throw new Malformed(name + ": missing, or not a text");
+      throw new MalformedJobException(name + ": missing, or not a text");
     }
     return value;
   }
 
-  private static long whole(Map<String, Object> m, String name) throws Malformed {
+  private static long whole(Map<String, Object> m, String name) throws MalformedJobException {
     if (!(m.get(name) instanceof Number n) || n instanceof Double || n.longValue() < 0) {
-      throw new Malformed(name + ": must be a whole number");
+      throw new MalformedJobException(name + ": must be a whole number");
     }
     return n.longValue();
   }
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -1,13 +1,13 @@
 package gladeknot.workers;
 
-import gladeknot.ledger.Ledger;
 import gladeknot.placement.Attempt;
+import gladeknot.state.StateStore;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** A rented machine: its key, and for those of our shards its newest report. */
 public final class Worker {
-  public static final String KEYS = Ledger.ROOT + "w/";
+  public static final String KEYS = StateStore.ROOT + "w/";
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -260,7 +260,7 @@
     return leaving;
   }
 
-  /** Whether the ledger has it. */
+  /** Whether the state store has it. */
   public boolean entered() {
     return entered;
   }
--- a/src/main/java/gladeknot/workers/WorkerBook.java
+++ b/src/main/java/gladeknot/workers/WorkerRegistry.java
@@ -1,7 +1,7 @@
 package gladeknot.workers;
 
-import gladeknot.ledger.Ledger;
 import gladeknot.placement.Attempt;
+import gladeknot.state.StateStore;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /** All machines, by name. */
-public final class WorkerBook {
+public final class WorkerRegistry {
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Map<Integer, Map<String, Worker>> byShard = new HashMap<>();
   private final Set<String> released = new HashSet<>();
@@ -23,7 +23,7 @@
     return workers.values();
   }
 
-  /** The machines of a shard that the ledger has. */
+  /** The machines of a shard that the state store has. */
   public Collection<Worker> of(int shard) {
     return byShard.getOrDefault(shard, Map.of()).values();
   }
@@ -34,7 +34,7 @@
   }
 
   /** Takes in a change of a key of machines. */
-  public void changed(String key, Ledger.Entry before, Ledger.Entry now) {
+  public void changed(String key, StateStore.Entry before, StateStore.Entry now) {
     Map<String, Object> old = before == null ? Map.of() : before.data();
     Map<String, Object> data = now == null ? Map.of() : now.data();
     data.forEach(
--- a/src/main/java/gladeknot/workers/WorkerDesk.java
+++ b/src/main/java/gladeknot/workers/WorkerRequestHandler.java
@@ -2,9 +2,9 @@
 
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
-import gladeknot.ledger.Ledger;
 import gladeknot.membership.Membership;
 import gladeknot.settings.Settings;
+import gladeknot.state.StateStore;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,8 +14,8 @@
 import org.slf4j.LoggerFactory;
 
 /** Takes the workers' reports and answers them. */
-public final class WorkerDesk {
-  private static final Logger LOG = LoggerFactory.getLogger(WorkerDesk.class);
+public final class WorkerRequestHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(WorkerRequestHandler.class);
 
   /** Brings what a report says together with what the slices say. */
   public interface Sync {
@@ -78,9 +78,9 @@
       long untilMicros,
       long quietUntilMicros) {}
 
-  private final Ledger ledger;
+  private final StateStore stateStore;
   private final Membership membership;
-  private final WorkerBook workers;
+  private final WorkerRegistry workers;
   private final Outbox outbox;
   private final Sync sync;
   private final Map<String, Long> sentAway = new HashMap<>();
@@ -91,18 +91,18 @@
   private long nextReleaseMicros;
   private long nowMicros;
 
-  public WorkerDesk(
+  public WorkerRequestHandler(
       Settings settings,
-      Ledger ledger,
+      StateStore stateStore,
       Membership membership,
-      WorkerBook workers,
+      WorkerRegistry workers,
       Outbox outbox,
       Sync sync) {
     long share = (long) (settings.workers().reportMicros() * HOLD_SHARE);
     this.holdMicros = Math.max(LEAST_HOLD_MICROS, Math.min(MOST_HOLD_MICROS, share));
     this.quietMicros =
         Math.min(MOST_QUIET_MICROS, (long) (settings.workers().reportMicros() * QUIET_SHARE));
-    this.ledger = ledger;
+    this.stateStore = stateStore;
     this.membership = membership;
     this.workers = workers;
     this.outbox = outbox;
@@ -129,17 +129,17 @@
     } catch (IOException e) {
       outbox.answer(request, 400, Json.of("error", "body: not a JSON object"));
       return;
-    } catch (Report.Malformed e) {
+    } catch (Report.MalformedJobException e) {
       outbox.answer(request, 400, Json.of("error", e.getMessage()));
       return;
     }
-    if (!ledger.loaded() || !membership.entitled()) {
+    if (!stateStore.loaded() || !membership.entitled()) {
       outbox.comeBack(request, 503, "not entitled to answer workers", 1);
       return;
     }
     Worker worker = workers.get(report.host());
     if (worker == null || !worker.entered()) {
-      // Not in the ledger: rented by a request whose answer was lost, or the copy is behind.
+      // Not in the state store: rented by a request whose answer was lost, or the copy is behind.
       sync.adopt(report);
       outbox.comeBack(request, 503, "unknown machine", 1);
       return;
@@ -205,7 +205,7 @@
                 sync.restarted(worker, now);
               }
             }
-          } catch (Report.Malformed e) {
+          } catch (Report.MalformedJobException e) {
             LOG.info("status of {} not understood: {}", worker.host(), e.getMessage());
           }
         });
@@ -249,7 +249,7 @@
    * one another, keeps a cancelled task beyond its time; other commands are the owner's alone.
    */
   private void careFor(long request, byte[] body, Report report, int shard, long term) {
-    ledger.barrier(
+    stateStore.barrier(
         () -> {
           if (membership.actsFor(shard)) {
             hello(request, body);
