--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -166,7 +166,7 @@
     membership.tick(nowMicros);
     workerRequests.tick(nowMicros);
     jobRequests.tick(nowMicros, wallMicros);
-    scheduler.tick(nowMicros);
+    scheduler.tick(nowMicros, wallMicros);
     budgets.tick(nowMicros);
     placer.tick(nowMicros, wallMicros);
     fleet.tick(nowMicros, wallMicros);
--- a/src/main/java/gladeknot/jobs/JobRegistry.java
+++ b/src/main/java/gladeknot/jobs/JobRegistry.java
@@ -1,21 +1,31 @@
 package gladeknot.jobs;
 
 import gladeknot.state.StateStore;
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
-/** The jobs that go on, as the followed copy has them; those over stay in the copy alone. */
+/**
+ * All accepted jobs, as the followed copy of the state has them.
+ *
+ * <p>A job that waits for others is <em>held</em> and not among the active ones: nothing that
+ * places tasks or rents machines sees it before all jobs that it needs are done. A job that needs a
+ * withdrawn one, directly or through others, counts as withdrawn from the moment at which the copy
+ * shows that, whether its own record says so yet or not.
+ */
 public final class JobRegistry {
-  /** Hears of jobs that begin or end; {@code now} is null if a key has gone. */
+  /** Hears of jobs that become active or are over. */
   public interface Listener {
+    /** One of the two may be null: a job that was not active before, or is gone. */
     void jobChanged(Job before, Job now);
   }
 
   private final Map<String, Job> active = new LinkedHashMap<>();
-  private final Set<String> over = new HashSet<>();
+  private final Map<String, Job> over = new HashMap<>();
+  private final DependencyGraph graph = new DependencyGraph(this::over);
   private final Listener listener;
   private long changes;
 
@@ -23,17 +33,51 @@
     this.listener = listener;
   }
 
+  /** A job that is under way; null if it is unknown, held or over. */
   public Job active(String id) {
     return active.get(id);
   }
 
+  /** The jobs that are under way. */
+  public Collection<Job> active() {
+    return active.values();
+  }
+
+  /** The jobs that wait for others. */
+  public Collection<Job> held() {
+    return graph.held();
+  }
+
+  /** A job that is neither done nor withdrawn, held or not; null if there is no such job. */
+  public Job unfinished(String id) {
+    Job job = active.get(id);
+    return job != null ? job : graph.held(id);
+  }
+
   /** Whether a job is done or withdrawn; one that is not known is not. */
-  public boolean over(String id) {
-    return over.contains(id);
+  public boolean isOver(String id) {
+    return over(id) != null;
   }
 
-  public Collection<Job> active() {
-    return active.values();
+  /** A job that is done or withdrawn, be it through one that it needs; null if it isn't. */
+  public Job over(String id) {
+    Job job = over.get(id);
+    return job != null ? job : graph.withdrawn(id);
+  }
+
+  /** Whether a job was accepted, as far as the copy tells. */
+  public boolean known(String id) {
+    return unfinished(id) != null || isOver(id);
+  }
+
+  /** Jobs that are withdrawn through others, and whose own records don't say so yet. */
+  public List<Job> withdrawnThroughOthers() {
+    return graph.withdrawn();
+  }
+
+  /** The jobs named by a job's {@code waitsOn} that are not done yet; empty if it isn't held. */
+  public Collection<String> openNeeds(String id) {
+    return graph.openNeeds(id);
   }
 
   /** Grows with every change. */
@@ -45,16 +89,27 @@
   public void changed(String key, StateStore.Entry entry) {
     String id = key.substring(Job.KEYS.length());
     changes++;
-    Job before = active.get(id);
+    Job before = active.remove(id);
     Job now = entry == null ? null : Job.read(id, entry);
-    if (now != null && now.active()) {
-      active.put(id, now);
+    graph.remove(id);
+    if (now == null) {
+      over.remove(id);
+      listener.jobChanged(before, null);
+    } else if (now.active()) {
+      List<Job> released = new ArrayList<>();
+      graph.add(now, released);
+      released.forEach(job -> activate(before, job));
     } else {
-      active.remove(id);
-      if (now != null) {
-        over.add(id);
-      }
+      over.put(id, now);
+      listener.jobChanged(before, now);
+      List<Job> released = new ArrayList<>();
+      graph.ended(id, released);
+      released.forEach(job -> activate(null, job));
     }
-    listener.jobChanged(before, now);
+  }
+
+  private void activate(Job before, Job job) {
+    active.put(job.id(), job);
+    listener.jobChanged(before, job);
   }
 }
--- a/src/main/java/gladeknot/jobs/JobRequestHandler.java
+++ b/src/main/java/gladeknot/jobs/JobRequestHandler.java
@@ -21,6 +21,9 @@
   private static final int MAX_QUEUE = 300;
   private static final long MAX_WAIT_MICROS = 2_500_000;
 
+  /** What a stored submission's home and time take beyond those that it was measured with. */
+  private static final int STAMPS_BYTES = 64;
+
   /** What the desk must know of the others. */
   public interface Surroundings {
     /** Whether the machine types are known. */
@@ -101,13 +104,50 @@
           Json.of("error", "cores, accelerators, memoryGb: a task fits no allowed type"));
       return;
     }
-    if (Json.bytes(Job.accepted(spec, 0, 0)).length + 64 > settings.stateLimits().valueBytes()) {
-      outbox.answer(request, 400, Json.of("error", "hosttypes: too long"));
+    if (Json.bytes(Job.accepted(spec, 0, 0)).length + STAMPS_BYTES > mostValueBytes()) {
+      String longest = spec.waitsOn().isEmpty() ? "hosttypes" : "waitsOn";
+      outbox.answer(request, 400, Json.of("error", longest + ": too long"));
+      return;
+    }
+    if (spec.waitsOn().contains(spec.id())) {
+      outbox.answer(request, 422, Json.of("error", "waitsOn: names the job itself"));
+      return;
+    }
+    if (spec.waitsOn().stream().allMatch(jobs::known)) {
+      submitWithNeeds(request, spec);
       return;
     }
+    // The copy may be older than the acceptance of a job that is named.
+    stateStore.barrier(
+        () -> submitWithNeeds(request, spec),
+        () -> outbox.comeBack(request, 503, "the state service does not answer", 1));
+  }
+
+  /** Accepts a submission unless it names jobs that can't be waited for; the copy is new enough. */
+  private void submitWithNeeds(long request, JobSpec spec) {
+    if (known(spec.id())) {
+      poll(request, spec.id());
+      return;
+    }
+    for (String need : spec.waitsOn()) {
+      Job job = jobs.unfinished(need);
+      if (!jobs.known(need)) {
+        outbox.answer(request, 422, Json.of("error", "waitsOn: no such job " + need));
+        return;
+      }
+      if (job != null && job.spec().shape() == JobSpec.Shape.SERVICE) {
+        outbox.answer(request, 422, Json.of("error", "waitsOn: a service never ends: " + need));
+        return;
+      }
+    }
     enqueue(new Pending(request, spec.id(), spec, false, nowMicros));
   }
 
+  /** The largest value that can be stored now and under the limits to come. */
+  private int mostValueBytes() {
+    return settings.stateLimits().valueBytes();
+  }
+
   private String refusal(JobSpec spec) {
     Settings.Team team = settings.teams().get(spec.team());
     if (team == null) {
@@ -130,7 +170,7 @@
   }
 
   private boolean known(String id) {
-    return stateStore.get(Job.key(id)) != null;
+    return jobs.known(id);
   }
 
   /** GET /work/ID. */
@@ -149,14 +189,13 @@
 
   /** Answers if the job is over: that never changes again. */
   private boolean over(long request, String id, boolean counts) {
-    StateStore.Entry entry = stateStore.get(Job.key(id));
-    String phase = entry == null ? null : Json.text(entry.data(), "p");
-    if (phase == null) {
+    Job job = jobs.over(id);
+    if (job == null) {
       return false;
     }
-    Map<String, Object> answer = Json.of("id", id, "phase", phase);
+    Map<String, Object> answer = Json.of("id", id, "phase", job.phase().word());
     if (counts) {
-      answer.put("done", phase.equals("done") ? Json.num(entry.data(), "n", 0) : 0);
+      answer.put("done", job.phase() == Job.Phase.DONE ? job.tasks() : 0);
       answer.put("running", 0);
     }
     outbox.answer(request, 200, answer);
@@ -167,11 +206,12 @@
     if (over(request, id, true)) {
       return;
     }
-    Job job = jobs.active(id);
+    Job job = jobs.unfinished(id);
     if (job == null) {
       outbox.answer(request, 404, Json.of("error", "no such job"));
       return;
     }
+    // A held job has no slices, and so none of its tasks is counted.
     int[] counts = around.counts(job);
     String phase = counts[1] > 0 ? "running" : "queued";
     outbox.answer(
@@ -187,7 +227,7 @@
       outbox.comeBack(request, 503, "the state is not read yet", 1);
       return;
     }
-    if (jobs.active(id) != null) {
+    if (jobs.unfinished(id) != null) {
       enqueue(new Pending(request, id, null, true, nowMicros));
       return;
     }
@@ -196,7 +236,7 @@
           if (over(request, id, false)) {
             return;
           }
-          if (jobs.active(id) != null) {
+          if (jobs.unfinished(id) != null) {
             enqueue(new Pending(request, id, null, true, nowMicros));
           } else {
             outbox.answer(request, 404, Json.of("error", "no such job"));
@@ -234,13 +274,13 @@
         continue;
       }
       if (p.abort()) {
-        Job job = jobs.active(p.id());
+        Job job = jobs.unfinished(p.id());
         if (job == null) {
           abort(p.request(), p.id());
           continue;
         }
         conditions.put(key, job.stamp());
-        writes.add(Write.put(key, Job.over(Job.Phase.WITHDRAWN, job.tasks())));
+        writes.add(Write.put(key, Job.withdrawn(job.tasks())));
       } else if (known(p.id())) {
         poll(p.request(), p.id());
         continue;
@@ -282,7 +322,8 @@
             LOG.info("job {} accepted: {}", p.id(), p.spec());
           }
           int status = p.abort() ? 200 : 201;
-          String phase = p.abort() ? "withdrawn" : "queued";
+          // A job may be withdrawn from the start, by one that it needs.
+          String phase = jobs.isOver(p.id()) ? jobs.over(p.id()).phase().word() : "queued";
           outbox.answer(p.request(), status, Json.of("id", p.id(), "phase", phase));
         }
       }
--- a/src/main/java/gladeknot/jobs/JobSpec.java
+++ b/src/main/java/gladeknot/jobs/JobSpec.java
@@ -9,7 +9,8 @@
  * A submitted job. Amounts are in thousandths, times in microseconds.
  *
  * <p>{@code zone}, {@code types} and {@code dueMicros} are null, null and 0 where the user set
- * none.
+ * none. {@code waitsOn} names the jobs that have to be done before a task of this one starts; each
+ * once, empty if there are none.
  */
 public record JobSpec(
     String id,
@@ -31,7 +32,8 @@
     long guessMicros,
     long snapshotMicros,
     long flushMicros,
-    long dueMicros) {
+    long dueMicros,
+    List<String> waitsOn) {
 
   /** How a job's tasks belong together. */
   public enum Shape {
@@ -135,32 +137,39 @@
         Math.round(amount(m, "guessS", false) * 1e6),
         Math.round(amount(m, "snapshotS", false) * 1e6),
         Math.round(amount(m, "flushS", false) * 1e6),
-        m.get("dueS") == null ? 0 : Math.max(1, Math.round(amount(m, "dueS", false) * 1e6)));
+        m.get("dueS") == null ? 0 : Math.max(1, Math.round(amount(m, "dueS", false) * 1e6)),
+        waitsOn(m));
   }
 
   /** The submission as it was written, with the known fields alone. */
   public Map<String, Object> toMap() {
-    return Json.of(
-        "id", id,
-        "jobclass", jobClass,
-        "owner", team,
-        "shape", shape == Shape.GANG ? "ensemble" : shape.name().toLowerCase(java.util.Locale.ROOT),
-        "rank", rank.name().toLowerCase(java.util.Locale.ROOT),
-        "strands", tasks,
-        "cores", cpus / 1000.0,
-        "accelerators", gpus / 1000.0,
-        "memoryGb", memory / 1000.0,
-        "bundle", image,
-        "sizeGb", imageGb,
-        "hosttypes", types,
-        "glade", zone,
-        "together", together,
-        "scatter", scatter,
-        "loaners", spot,
-        "guessS", guessMicros / 1e6,
-        "snapshotS", snapshotMicros / 1e6,
-        "flushS", flushMicros / 1e6,
-        "dueS", dueMicros == 0 ? null : dueMicros / 1e6);
+    Map<String, Object> map =
+        Json.of(
+            "id", id,
+            "jobclass", jobClass,
+            "owner", team,
+            "shape",
+                shape == Shape.GANG ? "ensemble" : shape.name().toLowerCase(java.util.Locale.ROOT),
+            "rank", rank.name().toLowerCase(java.util.Locale.ROOT),
+            "strands", tasks,
+            "cores", cpus / 1000.0,
+            "accelerators", gpus / 1000.0,
+            "memoryGb", memory / 1000.0,
+            "bundle", image,
+            "sizeGb", imageGb,
+            "hosttypes", types,
+            "glade", zone,
+            "together", together,
+            "scatter", scatter,
+            "loaners", spot,
+            "guessS", guessMicros / 1e6,
+            "snapshotS", snapshotMicros / 1e6,
+            "flushS", flushMicros / 1e6,
+            "dueS", dueMicros == 0 ? null : dueMicros / 1e6);
+    if (!waitsOn.isEmpty()) {
+      map.put("waitsOn", waitsOn);
+    }
+    return map;
   }
 
   private static String text(Map<String, Object> m, String name) throws MalformedJobException {
@@ -205,4 +214,17 @@
     }
     return types;
   }
+
+  private static List<String> waitsOn(Map<String, Object> m) throws MalformedJobException {
+    Object value = m.get("waitsOn");
+    if (value == null) {
+      return List.of();
+    }
+    List<String> ids = Json.texts(m, "waitsOn");
+    boolean allIds = value instanceof List<?> list && list.size() == ids.size();
+    if (!allIds || !ids.stream().allMatch(JobSpec::isId)) {
+      throw new MalformedJobException("waitsOn: must be null or a list of job ids");
+    }
+    return ids.stream().distinct().toList();
+  }
 }
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -42,6 +42,7 @@
   private final Estimates estimates = new Estimates();
   private final Set<String> finishing = new HashSet<>();
   private long nowMicros;
+  private long wallMicros;
   private long nextCheckMicros;
   private boolean changed;
 
@@ -88,8 +89,9 @@
     changed = true;
   }
 
-  public void tick(long now) {
+  public void tick(long now, long wall) {
     nowMicros = now;
+    wallMicros = wall;
     taskKiller.tick(now);
     if (now < nextCheckMicros) {
       return;
@@ -160,7 +162,7 @@
   public List<Map<String, Object>> overdue(Report report) {
     List<Map<String, Object>> kills = new ArrayList<>();
     for (Report.Task t : report.tasks()) {
-      if (!t.ended() && jobs.over(t.job())) {
+      if (!t.ended() && jobs.isOver(t.job())) {
         kills.add(order("kill", t.name(), t.number(), 0));
       }
     }
@@ -426,28 +428,38 @@
   /** Marks jobs done whose every task is done in committed records. */
   private void finals() {
     for (Job job : List.copyOf(jobs.active())) {
-      if (!membership.commitsFor(job.home()) || finishing.contains(job.id())) {
-        continue;
+      if (mayFinish(job) && savedDone(job).cardinality() >= job.tasks()) {
+        finish(job, Job.done(job.tasks(), wallMicros), "done");
       }
-      if (savedDone(job).cardinality() < job.tasks()) {
-        continue;
+    }
+    for (Job job : jobs.withdrawnThroughOthers()) {
+      if (mayFinish(job)) {
+        finish(job, Job.withdrawn(job.tasks()), "withdrawn with one that it needs");
       }
-      finishing.add(job.id());
-      String key = Job.key(job.id());
-      recordWriter.add(
-          new RecordWriter.KeyChange(
-              job.home(),
-              Write.put(key, Job.over(Job.Phase.DONE, job.tasks())),
-              Map.of(key, job.stamp()),
-              ok -> {
-                finishing.remove(job.id());
-                if (ok) {
-                  LOG.info("job {} done", job.id());
-                }
-              }));
     }
   }
 
+  private boolean mayFinish(Job job) {
+    return membership.commitsFor(job.home()) && !finishing.contains(job.id());
+  }
+
+  /** Commits a job's final record. */
+  private void finish(Job job, Map<String, Object> record, String how) {
+    finishing.add(job.id());
+    String key = Job.key(job.id());
+    recordWriter.add(
+        new RecordWriter.KeyChange(
+            job.home(),
+            Write.put(key, record),
+            Map.of(key, job.stamp()),
+            ok -> {
+              finishing.remove(job.id());
+              if (ok) {
+                LOG.info("job {} {}", job.id(), how);
+              }
+            }));
+  }
+
   /** The tasks that are done by committed records: each counts once, whoever has it. */
   private BitSet savedDone(Job job) {
     BitSet done = new BitSet();
--- a/src/test/java/gladeknot/app/CheckerTest.java
+++ b/src/test/java/gladeknot/app/CheckerTest.java
@@ -44,6 +44,30 @@
                 w.run(12 * SECOND);
                 w.impose(0, "req-web/0");
               }),
+          new Case(
+              "too_early",
+              w -> {
+                w.submit(0, SimulatedCluster.job("req-after", "array", 2));
+                w.pretendWaits("req-after", "req-web");
+                w.run(10 * SECOND);
+              }),
+          new Case(
+              "orphaned",
+              w -> {
+                w.submit(0, SimulatedCluster.job("req-gone", "service", 2));
+                w.pretendWaits("req-gone", "req-web");
+                w.abort(0, "req-web");
+                w.run(40 * SECOND);
+              }),
+          new Case(
+              "went_back",
+              w -> {
+                w.submit(0, SimulatedCluster.job("req-gone", "array", 2));
+                w.submit(0, SimulatedCluster.jobAfter("req-after", 2, "req-gone"));
+                w.pretendWaits("req-after", "req-web");
+                w.abort(0, "req-gone");
+                w.run(10 * SECOND);
+              }),
           new Case(
               "forgotten",
               w -> {
