--- a/src/main/java/gladeknot/jobs/JobRequestHandler.java
+++ b/src/main/java/gladeknot/jobs/JobRequestHandler.java
@@ -154,7 +154,7 @@
       return "owner: unknown team " + spec.team();
     }
     long count = spec.whole() ? spec.tasks() : 1;
-    if (spec.cpus() * count > team.cpusMax() || spec.gpus() * count > team.gpusMax()) {
+    if (!team.allows(spec.cpus() * count, spec.gpus() * count)) {
       return "cores, accelerators: more than the limit of team " + spec.team();
     }
     return null;
--- a/src/main/java/gladeknot/settings/Settings.java
+++ b/src/main/java/gladeknot/settings/Settings.java
@@ -25,8 +25,23 @@
   /** Another controller. */
   public record Member(String node, String zone, String address) {}
 
-  /** A team's guarantee and limit; CPUs and GPUs in thousandths. */
-  public record Team(String name, long cpus, long cpusMax, long gpus, long gpusMax) {}
+  /** A team's guarantee and limit; CPUs and GPUs in thousandths. A limit of 0 is no limit. */
+  public record Team(String name, long cpus, long cpusMax, long gpus, long gpusMax) {
+    /** Whether the team's CPUs are limited. */
+    public boolean limitsCpus() {
+      return cpusMax > 0;
+    }
+
+    /** Whether the team's GPUs are limited. */
+    public boolean limitsGpus() {
+      return gpusMax > 0;
+    }
+
+    /** Whether the team's tasks may use such amounts at once. */
+    public boolean allows(long useCpus, long useGpus) {
+      return (!limitsCpus() || useCpus <= cpusMax) && (!limitsGpus() || useGpus <= gpusMax);
+    }
+  }
 
   /** An aim; {@code withinMicros} and {@code times} are 0 where they do not apply. */
   public record Objective(
--- a/src/main/java/gladeknot/teams/Budgets.java
+++ b/src/main/java/gladeknot/teams/Budgets.java
@@ -62,6 +62,9 @@
 
   private static final Amount NONE = new Amount(0, 0);
 
+  /** A shard's budget of what its team has no limit of; the sum over all shards fits a long. */
+  private static final long UNLIMITED = Long.MAX_VALUE >> 20;
+
   private final Settings settings;
   private final StateStore stateStore;
   private final Membership membership;
@@ -96,7 +99,19 @@
     this.outbox = outbox;
   }
 
+  /** What a shard may use for a team: its committed part of each limit that there is. */
   private Amount budget(String team, int shard) {
+    Settings.Team limits = settings.teams().get(team);
+    if (limits == null) {
+      return NONE;
+    }
+    Amount committed = committed(team, shard);
+    return new Amount(
+        limits.limitsCpus() ? committed.cpus() : UNLIMITED,
+        limits.limitsGpus() ? committed.gpus() : UNLIMITED);
+  }
+
+  private Amount committed(String team, int shard) {
     StateStore.Entry entry = stateStore.get(KEYS + team);
     if (entry == null) {
       return NONE;
@@ -164,6 +179,11 @@
     }
   }
 
+  /** The part of an amount that budgets are kept of; the rest is not limited. */
+  private static Amount limited(Settings.Team team, Amount amount) {
+    return new Amount(team.limitsCpus() ? amount.cpus() : 0, team.limitsGpus() ? amount.gpus() : 0);
+  }
+
   private void create(Settings.Team team) {
     int mine = membership.home();
     if (!membership.commitsFor(mine)) {
@@ -264,7 +284,7 @@
       }
       // A rest too small for any of one's own tasks goes to lower numbers, never in circles.
       boolean stuck = lacking.getOrDefault(shard, Map.of()).containsKey(name) && other < shard;
-      Amount given = (stuck ? free.atLeastZero() : rest).min(lacks);
+      Amount given = limited(team, (stuck ? free.atLeastZero() : rest).min(lacks));
       if (!given.positive()) {
         continue;
       }
@@ -272,7 +292,7 @@
       List<Long> cpus = new ArrayList<>();
       List<Long> gpus = new ArrayList<>();
       for (int i = 0; i < membership.shards(); i++) {
-        Amount b = budget(name, i);
+        Amount b = committed(name, i);
         Amount change = i == shard ? NONE.minus(given) : i == other ? given : NONE;
         cpus.add(b.cpus() + change.cpus());
         gpus.add(b.gpus() + change.gpus());
--- /dev/null
+++ b/src/test/java/gladeknot/app/UnlimitedTeamTest.java
@@ -0,0 +1,117 @@
+package gladeknot.app;
+
+import static gladeknot.standin.SimulatedCluster.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.standin.SimulatedCluster;
+import gladeknot.standin.SimulatedCluster.Scale;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * Five controllers that share few writes and one team whose limits are 0, which means that it has
+ * none: the rules hold and the work gets done, also when two troubles meet.
+ */
+class UnlimitedTeamTest {
+  private static final int CONTROLLERS = 5;
+  private static final long NO_LIMIT = 0;
+  private static final int MACHINES = 40;
+  private static final Scale SCALE = new Scale(MACHINES, NO_LIMIT, 100, 15, 4096);
+
+  private record Case(String name, long seed, Consumer<SimulatedCluster> faults) {}
+
+  private static final List<Case> CASES =
+      List.of(
+          new Case("nothing happens", 1, cluster -> cluster.run(20 * SECOND)),
+          new Case(
+              "all controllers end inside an outage of the state service",
+              2,
+              cluster -> {
+                cluster.outage(true);
+                cluster.run(5 * SECOND);
+                restartAll(cluster, 3 * SECOND);
+                cluster.run(12 * SECOND);
+                cluster.outage(false);
+              }),
+          new Case(
+              "all controllers end just after an outage of the state service",
+              3,
+              cluster -> {
+                cluster.outage(true);
+                cluster.run(20 * SECOND);
+                cluster.outage(false);
+                cluster.run(SECOND);
+                restartAll(cluster, 6 * SECOND);
+              }),
+          new Case(
+              "a slow state service while a controller is cut from it",
+              4,
+              cluster -> {
+                cluster.stateDelay = 60_000;
+                cluster.cutFromState(0, true);
+                cluster.run(30 * SECOND);
+                cluster.cutFromState(0, false);
+                cluster.stateDelay = 0;
+              }),
+          new Case(
+              "controllers can't reach one another while one ends",
+              5,
+              cluster -> {
+                for (int i = 0; i < CONTROLLERS; i++) {
+                  cluster.cutFromPeers(i, true);
+                }
+                cluster.kill(1);
+                cluster.run(30 * SECOND);
+                cluster.start(1);
+                for (int i = 0; i < CONTROLLERS; i++) {
+                  cluster.cutFromPeers(i, false);
+                }
+              }));
+
+  private static void restartAll(SimulatedCluster cluster, long awayMicros) {
+    for (int i = 0; i < CONTROLLERS; i++) {
+      cluster.kill(i);
+    }
+    cluster.run(awayMicros);
+    for (int i = 0; i < CONTROLLERS; i++) {
+      cluster.start(i);
+    }
+  }
+
+  @TestFactory
+  Stream<DynamicTest> rulesHoldAndWorkGetsDone() {
+    return CASES.stream().map(c -> DynamicTest.dynamicTest(c.name(), () -> play(c)));
+  }
+
+  private static void play(Case played) {
+    SimulatedCluster cluster = new SimulatedCluster(CONTROLLERS, played.seed(), SCALE);
+    cluster.watch();
+    cluster.run(3 * SECOND);
+    cluster.submit(0, SimulatedCluster.job("req-array", "array", 60));
+    cluster.submit(1, SimulatedCluster.job("req-gang", "ensemble", 3));
+    cluster.submit(2, SimulatedCluster.job("req-web", "service", 4));
+    cluster.run(12 * SECOND);
+    played.faults().accept(cluster);
+    cluster.calm();
+    cluster.run(100 * SECOND);
+    assertEquals(List.of(), cluster.broken());
+    assertEquals("done", cluster.phase("req-array"));
+    assertEquals("done", cluster.phase("req-gang"));
+    assertEquals("running", cluster.phase("req-web"));
+  }
+
+  @Test
+  void everyMachineMayBeUsedByTheOneTeam() {
+    SimulatedCluster cluster = new SimulatedCluster(CONTROLLERS, 9, SCALE);
+    cluster.run(3 * SECOND);
+    cluster.submit(0, SimulatedCluster.job("req-web", "service", 4 * MACHINES));
+    cluster.run(60 * SECOND);
+    assertEquals(List.of(), cluster.broken());
+    assertTrue(cluster.tasksOnMachines() > 3 * MACHINES, cluster.tasksOnMachines() + " tasks");
+  }
+}
