Parts of records are split when full: 4,000 machines and more can all be used

Any member now splits all parts in two, on condition of the format mark's stamp; records move as they do for lower limits. Looks at what waits and rentals grow with the fleet. Zones with a controller were collected anew for every machine that a replica was weighed on; they are kept.

--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -1,5 +1,6 @@
 package gladeknot.app;
 
+import com.google.common.collect.Lists;
 import gladeknot.fleet.Fleet;
 import gladeknot.fleet.MachineType;
 import gladeknot.http.Json;
@@ -314,7 +315,9 @@
 
     @Override
     public void withdrawn(List<String> ids) {
-      outbox.message(PeerMessage.ofWithdrawn(nodeName, ids));
+      for (List<String> part : Lists.partition(ids, PeerMessage.MOST_WITHDRAWN)) {
+        outbox.message(PeerMessage.ofWithdrawn(nodeName, part));
+      }
     }
   }
 }
--- a/src/main/java/gladeknot/fleet/Demand.java
+++ b/src/main/java/gladeknot/fleet/Demand.java
@@ -14,7 +14,11 @@
 
   private record Arrival(long atMicros, JobSpec spec) {}
 
-  private static final int MOST = 2000;
+  /**
+   * How many arrivals are kept, whatever the window: about 80 a second over its usual length, which
+   * take a few megabytes at most.
+   */
+  private static final int MOST = 10_000;
 
   private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
 
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -41,7 +41,14 @@
   private static final int MOST_AT_ONCE = 50;
 
   private static final int MOST_RELEASED = 100;
-  private static final int MOST_FORECAST = 3000;
+
+  /**
+   * How many waiting tasks one look at what waits goes through at least, and as many times as there
+   * are machines: what a look costs is bounded, and every machine can get a task that fills it.
+   */
+  private static final int LEAST_FORECAST = 3000;
+
+  private static final int FORECAST_A_MACHINE = 2;
   private static final int MOST_ERRORS = 4;
   private static final long SILENT_MICROS = 8_000_000;
   private static final long LEAST_BACK_MICROS = 10_000_000;
@@ -236,6 +243,7 @@
     Map<Offers.Offer, Integer> wanted = new LinkedHashMap<>();
     int shard = -1;
     int looked = 0;
+    int most = mostForecast();
     // What comes after our last need takes nothing from it.
     for (Placer.Need need : queue.waiting().subList(0, last + 1)) {
       JobSpec spec = need.job().spec();
@@ -254,7 +262,7 @@
       Forecast.Search search = forecast.search(spec, only);
       boolean anywhere = only < 0 && !spec.scatter() && !spec.together();
       int i = 0;
-      while (i < need.count() && looked < MOST_FORECAST) {
+      while (i < need.count() && looked < most) {
         Forecast.Slot slot = need.starved() ? search.fresh(inZone) : search.best(inZone);
         long starts = search.startsMicros();
         long at = slot == null ? Forecast.NEVER : starts + slot.fetchMicros(spec);
@@ -275,7 +283,7 @@
           break;
         }
         // Tasks of one job that start on one machine at one time are put there together.
-        int rest = Math.min(need.count() - i, MOST_FORECAST - looked);
+        int rest = Math.min(need.count() - i, most - looked);
         int n = anywhere ? (int) Math.max(1, Math.min(rest, slot.roomBy(spec, starts))) : 1;
         // A gang's tasks run side by side: none of them waits for another's end.
         forecast.put(slot, spec, starts, only >= 0 ? Forecast.NEVER : run, n);
@@ -289,6 +297,15 @@
     }
   }
 
+  /** How many tasks one look goes through; the machines on their way count as well. */
+  private int mostForecast() {
+    int machines = workers.all().size();
+    for (Rental rental : rentals) {
+      machines += rental.number;
+    }
+    return Math.max(LEAST_FORECAST, FORECAST_A_MACHINE * machines);
+  }
+
   /**
    * Compares what is likely to run, by what has come of late, with the machines there are. What has
    * no place is rented ahead, by one controller at a time; machines left empty may be given back.
@@ -325,7 +342,7 @@
       boolean anywhere = !spec.scatter() && !spec.together();
       int first = anywhere ? capacity.put(spec, tasks, new HashMap<>()) : 0;
       int i = first;
-      while (i < tasks && i < MOST_FORECAST) {
+      while (i < tasks && i < mostForecast()) {
         if (i % Math.max(1, spec.tasks()) == 0) {
           inZone.clear();
         }
@@ -537,7 +554,7 @@
     return offers.choose(
         new Offers.Wish(spec, inZone, count, latest, otherwise),
         asked,
-        MOST_AT_ONCE,
+        MOST_AT_ONCE * Math.max(1, (int) tokens.left(0, nowMicros)),
         inZones,
         policy.number(Policy.Name.DEAR),
         nowMicros);
@@ -548,10 +565,17 @@
     workers.all().forEach(w -> inZones.merge(w.zone(), 1, Integer::sum));
   }
 
+  /** Rents so many machines, with as many calls as that takes. */
   private void hire(Offers.Offer offer, int number, int shard) {
+    for (int rest = number; rest > 0; rest -= MOST_AT_ONCE) {
+      hireAtOnce(offer, Math.min(rest, MOST_AT_ONCE), shard);
+    }
+  }
+
+  private void hireAtOnce(Offers.Offer offer, int number, int shard) {
     // Names never repeat: a lease's number belongs to one life of one controller.
     String name = settings.node() + "-" + membership.incarnation() + "-" + (++rentalCount);
-    Rental rental = new Rental(name, offer, Math.min(number, MOST_AT_ONCE), shard);
+    Rental rental = new Rental(name, offer, number, shard);
     rentals.add(rental);
     send(rental);
   }
--- a/src/main/java/gladeknot/http/HttpServer.java
+++ b/src/main/java/gladeknot/http/HttpServer.java
@@ -35,8 +35,11 @@
   private static final long IDLE_SECONDS = 75;
   private static final long HALF_OPEN_SECONDS = 10;
 
-  /** When other controllers end, all their workers and users come at once. */
-  private static final int BACKLOG = 1024;
+  /**
+   * When other controllers end, all their workers and users come at once: above 4,000 machines. The
+   * system may allow less; who is refused comes again.
+   */
+  private static final int BACKLOG = 8192;
 
   /** Takes a request in. */
   public interface Handler {
--- a/src/main/java/gladeknot/membership/ClusterFormat.java
+++ b/src/main/java/gladeknot/membership/ClusterFormat.java
@@ -33,13 +33,21 @@
   private static final String FIELD_SPLIT = "split";
   private static final long STEP_MICROS = 1_000_000;
 
+  /** After parts were split, until it is known whether that was enough: records move meanwhile. */
+  private static final long GROW_MICROS = 10_000_000;
+
+  /** Keeps part numbers small; with it a shard holds some hundred thousand tasks at once. */
+  private static final int MOST_SPLIT = 256;
+
   private final Settings settings;
   private final StateStore stateStore;
   private final TransactionLimits limits;
   private StateStore.Entry seen;
   private int partSplit = 1;
   private boolean writing;
+  private boolean partsFull;
   private long nextMicros;
+  private long nextGrowMicros;
 
   /** The format as the copy shows it; without a mark it is the first version's. */
   public ClusterFormat(Settings settings, StateStore stateStore, TransactionLimits limits) {
@@ -55,6 +63,7 @@
   /** Takes the mark in from the copy: it is asked for far too often to be looked up each time. */
   public void changed() {
     seen = stateStore.get(KEY);
+    partsFull = false;
     partSplit = seen == null ? 1 : (int) Math.max(1, Json.num(seen.data(), FIELD_SPLIT, 1));
   }
 
@@ -73,10 +82,19 @@
     return partSplit;
   }
 
+  /**
+   * Notes that a part of a shard's record has no room for tasks that there are machines for: how
+   * many tasks can run must not be bounded by the largest value of the state service.
+   */
+  public void partsFull() {
+    partsFull = true;
+  }
+
   /** Commits the mark once it may be; the first member by name does. */
   void tick(long nowMicros) {
     if (agreed()) {
       limits.allMembersCurrent();
+      splitFullParts(nowMicros);
     }
     boolean first = settings.nodes().get(0).equals(settings.node());
     if (!first || writing || nowMicros < nextMicros || !wanted()) {
@@ -88,7 +106,24 @@
       return;
     }
     conditions.put(KEY, stamp());
-    int split = limits.wantedPartSplit();
+    write(limits.wantedPartSplit(), conditions);
+  }
+
+  /** Splits all parts in two; any member may, on condition that nobody else has. */
+  private void splitFullParts(long nowMicros) {
+    if (!partsFull || writing || nowMicros < nextGrowMicros || partSplit() >= MOST_SPLIT) {
+      return;
+    }
+    if (stateStore.takeWrites(1, 0)) {
+      partsFull = false;
+      nextGrowMicros = nowMicros + GROW_MICROS;
+      Map<String, Long> conditions = new LinkedHashMap<>();
+      conditions.put(KEY, stamp());
+      write(2 * partSplit(), conditions);
+    }
+  }
+
+  private void write(int split, Map<String, Long> conditions) {
     writing = true;
     stateStore.commit(
         conditions,
--- a/src/main/java/gladeknot/peer/PeerMessage.java
+++ b/src/main/java/gladeknot/peer/PeerMessage.java
@@ -26,12 +26,17 @@
   public static final int NO_SHARD = Integer.MAX_VALUE;
 
   private static final int FORMAT = 2;
+
+  /** How many teams one message tells of; the others wait for a later one. */
   private static final int MOST_SHORTS = 1000;
-  private static final int MOST_WITHDRAWN = 500;
+
+  /** How many jobs one message tells of; its sender parts what is longer. */
+  public static final int MOST_WITHDRAWN = 500;
 
   /** A hint about a shard's budgets. */
   public static PeerMessage ofShorts(String from, int shard, long term, List<Short> shorts) {
-    return new PeerMessage(from, shard, term, shorts, List.of());
+    List<Short> told = shorts.subList(0, Math.min(shorts.size(), MOST_SHORTS));
+    return new PeerMessage(from, shard, term, List.copyOf(told), List.of());
   }
 
   /** A hint about jobs whose cancellation is committed. */
--- a/src/main/java/gladeknot/placement/AttemptsCodec.java
+++ b/src/main/java/gladeknot/placement/AttemptsCodec.java
@@ -1,5 +1,6 @@
 package gladeknot.placement;
 
+import com.google.common.base.Strings;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
@@ -98,7 +99,7 @@
 
   private static List<Stored> readCompact(String text) {
     String[] fields = text.substring(1).split(":", 3);
-    String format = fields[0].replace("%", "%%") + "%0" + Integer.parseInt(fields[1]) + "d";
+    int digits = Integer.parseInt(fields[1]);
     ByteArrayInputStream in = new ByteArrayInputStream(Base64.getDecoder().decode(fields[2]));
     List<Stored> attempts = new ArrayList<>();
     long task = 0;
@@ -108,7 +109,8 @@
       task += take(in);
       number += take(in);
       host += take(in);
-      attempts.add(new Stored((int) task, number, String.format(format, host)));
+      String name = fields[0] + Strings.padStart(Long.toString(host), digits, '0');
+      attempts.add(new Stored((int) task, number, name));
     }
     return attempts;
   }
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -152,6 +152,10 @@
   private final Preemption preemption;
   private final Urgency urgency;
   private final Supplier<List<String>> zonesOffered;
+
+  /** Kept, since it is asked for each machine that a replica is weighed on. */
+  private final Set<String> controllerZones;
+
   private final Map<String, Budgets.Amount> left = new HashMap<>();
 
   /** What decides whether a machine takes a task, for jobs that may be in any zones. */
@@ -205,6 +209,7 @@
     this.scheduler = scheduler;
     this.types = types;
     this.zonesOffered = zonesOffered;
+    this.controllerZones = settings.controllerZones();
     long within = Long.MAX_VALUE / 4;
     for (Settings.Objective o : settings.objectives()) {
       if (o.kind().equals("guarantee")) {
@@ -525,7 +530,9 @@
     if (allowed < todo) {
       lacks(spec, todo, allowed, rooms, shard);
     }
-    int count = Math.min(todo, Math.min(allowed, recordRoom(s)));
+    int wanted = Math.min(todo, allowed);
+    int count = Math.min(wanted, recordRoom(s));
+    boolean recordFull = count < wanted;
     if (w.starved() && !spec.whole()) {
       count = Math.min(count, 1);
     }
@@ -545,6 +552,9 @@
       next = s.nextTodo(next + 1);
     }
     charge(spec, placed, shard);
+    if (recordFull && placed == count && best(s, spec, rooms, null) != null) {
+      membership.format().partsFull();
+    }
     return count - placed;
   }
 
@@ -687,8 +697,7 @@
     double empty = (double) room.cpus / room.type.cpus();
     // A zone without a controller loses its workers' leases when it is cut off.
     double lonely =
-        spec.shape() == JobSpec.Shape.SERVICE
-                && !settings.controllerZones().contains(room.worker.zone())
+        spec.shape() == JobSpec.Shape.SERVICE && !controllerZones.contains(room.worker.zone())
             ? 2
             : 0;
     // A machine that is not needed is to run empty and be given back.
--- a/src/main/java/gladeknot/placement/RecordWriter.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -461,7 +461,8 @@
         batch.partBytes(key)
             + (record == null ? 0 : record.length() + s.job().length() + SliceRegistry.FIELD_BYTES);
     if (s.starts() && size > limits.valueBytes()) {
-      // The part is full: its tasks wait until others have ended, or are claimed.
+      // The part is full: its tasks wait until it is split, others have ended, or they are claimed.
+      membership.format().partsFull();
       reload(s);
       s.restUntilMicros = nowMicros + END_WAIT_MICROS;
       return;
--- a/src/main/java/gladeknot/placement/TaskKiller.java
+++ b/src/main/java/gladeknot/placement/TaskKiller.java
@@ -24,7 +24,10 @@
   /** Between two tries at one machine. */
   private static final long AGAIN_MICROS = 2_000_000;
 
-  /** How many calls may be open: silent machines must not use up the sockets. */
+  /**
+   * How many calls may be open: silent machines must not use up the sockets. However many machines
+   * there are, the others wait for a second or two, and get their kills with their reports too.
+   */
   private static final int MOST_OPEN = 40;
 
   /** What waits for one machine. */
--- a/src/test/java/gladeknot/app/LoadTest.java
+++ b/src/test/java/gladeknot/app/LoadTest.java
@@ -72,6 +72,37 @@
     assertTrue(large < 0.7, large + " writes for each task");
   }
 
+  /**
+   * No limit stands below the largest fleets: each machine gets a task that fills it, which takes
+   * more room than the first layout of the records has, and keeps it while all controllers end.
+   */
+  @Test
+  void fourThousandMachinesAreRentedAndUsed() {
+    int machines = 4200;
+    SimulatedCluster w =
+        new SimulatedCluster(5, 34, new SimulatedCluster.Scale(machines, 0, 400, 200));
+    w.run(3 * SECOND);
+    for (int i = 0; i < 6; i++) {
+      var job = SimulatedCluster.job("req-web-" + i, "service", machines / 6);
+      job.put("cores", 4.0);
+      job.put("scatter", false);
+      w.submit(i % 5, job);
+    }
+    w.run(27 * SECOND);
+    int before = w.tasksOnMachines();
+    assertTrue(before > 4000, before + " tasks on machines");
+    for (int i = 0; i < 5; i++) {
+      w.kill(i);
+    }
+    w.run(2 * SECOND);
+    for (int i = 0; i < 5; i++) {
+      w.start(i);
+    }
+    w.run(12 * SECOND);
+    assertTrue(w.tasksOnMachines() >= before, w.tasksOnMachines() + " of " + before + " left");
+    assertEquals(List.of(), w.broken());
+  }
+
   private static double writesForEachTask(int machines) {
     SimulatedCluster w =
         new SimulatedCluster(
--- a/src/test/java/gladeknot/standin/CloudStandIn.java
+++ b/src/test/java/gladeknot/standin/CloudStandIn.java
@@ -36,6 +36,7 @@
   private final long bootMicros;
   private long nowMicros;
   private int next = 1;
+  private long changes;
 
   /** A cloud with room for so many machines, each up after the given time. */
   public CloudStandIn(int capacity, long bootMicros) {
@@ -51,6 +52,11 @@
     return List.copyOf(machines.values());
   }
 
+  /** How many times machines have been rented or given back. */
+  public long changes() {
+    return changes;
+  }
+
   /** Names used in rentals so far. */
   public int rentals() {
     return answered.size();
@@ -91,6 +97,7 @@
     }
     if (uri.equals("/rentals/release")) {
       Json.texts(Json.object(body), "hosts").forEach(machines::remove);
+      changes++;
       return new Answer(200, Json.of());
     }
     List<Object> hosts = new ArrayList<>();
@@ -134,6 +141,7 @@
       if (hosts.isEmpty()) {
         return new Answer(503, Json.of("error", "no capacity"));
       }
+      changes++;
       answered.put(name, hosts);
     }
     return new Answer(200, Json.of("hosts", hosts));
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -113,6 +113,8 @@
   private long now = 100 * SECOND;
   private long order;
   private boolean outage;
+  private final List<CloudStandIn.Machine> booting = new ArrayList<>();
+  private long seenCloudChanges = -1;
   private final Set<String> enteredBefore = new HashSet<>();
   private final Set<String> givenBack = new HashSet<>();
 
@@ -629,18 +631,33 @@
     drain(i);
   }
 
-  private void machines() {
-    for (CloudStandIn.Machine m : cloud.machines()) {
-      if (m.upMicros <= now && !machines.containsKey(m.id)) {
+  /** Machines that are to boot, and those that have been given back, go or come. */
+  private void bootMachines() {
+    if (seenCloudChanges != cloud.changes()) {
+      seenCloudChanges = cloud.changes();
+      booting.clear();
+      Set<String> rented = new HashSet<>();
+      for (CloudStandIn.Machine m : cloud.machines()) {
+        rented.add(m.id);
+        if (!machines.containsKey(m.id)) {
+          booting.add(m);
+        }
+      }
+      machines.keySet().retainAll(rented);
+    }
+    for (CloudStandIn.Machine m : List.copyOf(booting)) {
+      if (m.upMicros <= now) {
         Machine machine = new Machine();
         machine.worker = new WorkerStandIn(m, m.id + ":9", LEASE, this::runMicros, now);
         machine.node = random.nextInt(nodes.size());
         machines.put(m.id, machine);
+        booting.remove(m);
       }
     }
-    Set<String> rented = new HashSet<>();
-    cloud.machines().forEach(m -> rented.add(m.id));
-    machines.keySet().retainAll(rented);
+  }
+
+  private void machines() {
+    bootMachines();
     for (Machine m : machines.values()) {
       if (m.dead || m.hung) {
         continue;
--- a/src/test/java/gladeknot/standin/WorkerStandIn.java
+++ b/src/test/java/gladeknot/standin/WorkerStandIn.java
@@ -63,7 +63,16 @@
 
   /** Tasks that are on the machine, the exited ones left out. */
   public List<Task> live() {
-    return tasks.values().stream().filter(t -> !t.phase.equals("ended")).toList();
+    if (tasks.isEmpty()) {
+      return List.of();
+    }
+    List<Task> live = new ArrayList<>(tasks.size());
+    for (Task t : tasks.values()) {
+      if (!t.phase.equals("ended")) {
+        live.add(t);
+      }
+    }
+    return live;
   }
 
   /** Sets the time: tasks go on or end, and the lease may run out. */
@@ -85,6 +94,9 @@
 
   /** Tasks that have completed here since it was asked last. */
   public List<String> finished() {
+    if (finished.isEmpty()) {
+      return List.of();
+    }
     List<String> taken = List.copyOf(finished);
     finished.clear();
     return taken;
