Less work a tick: members, images, empty barriers and budgets' needs are looked at once

A sampling profile of the stand-ins with 1,000 machines had 4% in a list of members made anew each tick, 7% in adding up room beyond what is asked for, 3% in summing image sizes.

--- a/src/main/java/gladeknot/membership/ClusterFormat.java
+++ b/src/main/java/gladeknot/membership/ClusterFormat.java
@@ -39,7 +39,8 @@
   /** Keeps part numbers small; with it a shard holds some hundred thousand tasks at once. */
   private static final int MOST_SPLIT = 256;
 
-  private final Settings settings;
+  private final List<String> nodes;
+  private final boolean firstMember;
   private final StateStore stateStore;
   private final TransactionLimits limits;
   private StateStore.Entry seen;
@@ -51,7 +52,8 @@
 
   /** The format as the copy shows it; without a mark it is the first version's. */
   public ClusterFormat(Settings settings, StateStore stateStore, TransactionLimits limits) {
-    this.settings = settings;
+    this.nodes = settings.nodes();
+    this.firstMember = nodes.get(0).equals(settings.node());
     this.stateStore = stateStore;
     this.limits = limits;
   }
@@ -96,8 +98,7 @@
       limits.allMembersCurrent();
       splitFullParts(nowMicros);
     }
-    boolean first = settings.nodes().get(0).equals(settings.node());
-    if (!first || writing || nowMicros < nextMicros || !wanted()) {
+    if (!firstMember || writing || nowMicros < nextMicros || !wanted()) {
       return;
     }
     nextMicros = nowMicros + STEP_MICROS;
@@ -141,7 +142,6 @@
   /** The stamps of all liveness and shard keys, if all are of this version; else null. */
   private Map<String, Long> allCurrent() {
     Map<String, Long> stamps = new LinkedHashMap<>();
-    List<String> nodes = settings.nodes();
     for (String node : nodes) {
       StateStore.Entry alive = stateStore.get(Membership.aliveKey(node));
       if (alive == null || Json.num(alive.data(), FIELD_FORMAT, 1) < ANNOUNCED) {
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -63,6 +63,7 @@
   private final StateStore stateStore;
   private final Listener listener;
   private final LeaseTimes times;
+  private final String ownAliveKey;
   private final ClusterFormat format;
   private final long ttlMicros;
 
@@ -91,6 +92,7 @@
   /** A member that has no lease and owns no shard yet. */
   public Membership(Settings settings, Policy policy, StateStore stateStore, Listener listener) {
     this.settings = settings;
+    this.ownAliveKey = aliveKey(settings.node());
     this.nodes = settings.nodes();
     this.home = nodes.indexOf(settings.node());
     this.stateStore = stateStore;
@@ -156,7 +158,7 @@
 
   /** Whether the liveness key is there under the present lease, as far as the copy tells. */
   private boolean announced() {
-    StateStore.Entry entry = stateStore.get(ALIVE + settings.node());
+    StateStore.Entry entry = stateStore.get(ownAliveKey);
     return grant != 0 && entry != null && Json.num(entry.data(), FIELD_INCARNATION, 0) == grant;
   }
 
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -583,6 +583,10 @@
   private void lacks(JobSpec spec, int todo, int allowed, List<Room> rooms, int shard) {
     long able = 0;
     for (Room room : rooms) {
+      if (able >= todo) {
+        // More is never asked for.
+        break;
+      }
       if (room.allows(spec)) {
         able += Math.max(room.fits(spec), spec.rank() == JobSpec.Rank.NORMAL ? 0 : 1);
       }
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -213,6 +213,9 @@
   }
 
   private void expire(List<Barrier> barriers) {
+    if (barriers.isEmpty()) {
+      return;
+    }
     List<Barrier> late = barriers.stream().filter(b -> b.deadlineMicros <= nowMicros).toList();
     if (late.isEmpty()) {
       return;
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -205,7 +205,10 @@
 
   /** Notes an image that it has, forgetting those used longest ago when they don't fit. */
   public void hasImage(String image, double gb, double cacheGb) {
-    images.put(image, gb);
+    Double known = images.put(image, gb);
+    if (known != null && known == gb) {
+      return;
+    }
     double sum = images.values().stream().mapToDouble(Double::doubleValue).sum();
     var oldest = images.entrySet().iterator();
     while (sum > cacheGb && oldest.hasNext()) {
