--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -39,9 +39,6 @@
   /** Workers become usable with time as well: a pass comes now and then in any case. */
   private static final long AGAIN_MICROS = 400_000;
 
-  /** How often the machines' CPUs are counted anew. */
-  private static final long PLACES_MICROS = 1_000_000;
-
   private static final long FOREIGN_STEP_MICROS = 1_500_000;
 
   /** From a decision to a running task, where nothing is known yet. */
@@ -151,6 +148,7 @@
   private final Types types;
   private final Preemption preemption;
   private final Urgency urgency;
+  private final DeadlineCapacity deadlineCapacity;
   private final Supplier<List<String>> zonesOffered;
 
   /** Kept, since it is asked for each machine that a replica is weighed on. */
@@ -179,8 +177,6 @@
   private long passes;
   private long nextMicros;
   private long againMicros;
-  private long nextPlacesMicros;
-  private long deadlineCpus;
   private long starveMicros;
   private long nowMicros;
   private long wallMicros;
@@ -217,6 +213,7 @@
       }
     }
     this.guaranteeMicros = within;
+    this.deadlineCapacity = new DeadlineCapacity(jobs, workers, types);
     this.urgency = new Urgency(settings, policy, jobs, slices, scheduler.estimates());
     this.preemption = new Preemption(settings, policy, jobs, slices, urgency::rank);
   }
@@ -369,7 +366,8 @@
     hopeless.clear();
     budgets.clear(shard);
     preemption.forgetVictims();
-    urgency.refresh(nowMicros, wallMicros, this::places);
+    urgency.refresh(
+        nowMicros, wallMicros, spec -> deadlineCapacity.places(spec, nowMicros, wallMicros));
     preemption.refresh(membership.shards(), nowMicros);
     List<Room> rooms = new ArrayList<>();
     for (Worker w : workers.of(shard)) {
@@ -420,35 +418,6 @@
     return new Waiting(s, job, urgency.rank(job), foreign, starved, guaranteed, urgency.key(job));
   }
 
-  /** How many tasks of a job with a deadline could be at work at once, by CPUs. */
-  private int places(JobSpec spec) {
-    if (nowMicros >= nextPlacesMicros) {
-      // A walk over the whole fleet and all that is on it: not for each job that comes or ends.
-      nextPlacesMicros = nowMicros + PLACES_MICROS;
-      deadlineCpus = deadlineCpus();
-    }
-    return (int) Math.max(0, Math.min(deadlineCpus / spec.cpus(), Integer.MAX_VALUE));
-  }
-
-  /** The CPUs that work with deadlines has or could get. */
-  private long deadlineCpus() {
-    long cpus = 0;
-    for (Worker w : workers.all()) {
-      MachineType type = types.get(w.type());
-      if (w.entered() && !w.leaving() && type != null && type.gpus() == 0) {
-        // One that is long since meant to be up and has nothing on it while work waits is of no
-        // use.
-        boolean coming = wallMicros - w.rentedWallMicros() < 2 * type.readyMicros();
-        cpus += coming || !w.attempts().isEmpty() ? type.cpus() : 0;
-        for (Attempt a : w.attempts().values()) {
-          Job job = a.closed ? null : jobs.active(a.slice().job());
-          cpus -= job != null && job.spec().dueMicros() == 0 ? a.slice().cpus() : 0;
-        }
-      }
-    }
-    return cpus;
-  }
-
   private boolean begun(Job job) {
     for (Slice s : slices.of(job.id())) {
       if (s.live() > 0 || !s.done.isEmpty()) {
--- /dev/null
+++ b/src/test/java/gladeknot/placement/DeadlineCapacityTest.java
@@ -0,0 +1,62 @@
+package gladeknot.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gladeknot.fleet.MachineType;
+import gladeknot.jobs.JobRegistry;
+import gladeknot.jobs.JobSpec;
+import gladeknot.standin.SimulatedCluster;
+import gladeknot.state.StateStore;
+import gladeknot.workers.Worker;
+import gladeknot.workers.WorkerRegistry;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Places for work with deadlines are counted by what such work needs. */
+class DeadlineCapacityTest {
+  private static final long NOW = 5_000_000;
+  private static final long READY = 40_000_000;
+
+  /** Two machines of 16 CPUs and 2 GPUs, three of 4 CPUs. */
+  @ParameterizedTest
+  @CsvSource({"6.0, 1.0, 4", "6.0, 2.0, 2", "2.0, 0.0, 6", "4.0, 0.0, 3"})
+  void places(double cpus, double gpus, int places) throws JobSpec.MalformedJobException {
+    WorkerRegistry workers = new WorkerRegistry();
+    enter(workers, 1, "accelerated");
+    enter(workers, 2, "accelerated");
+    enter(workers, 3, "plain");
+    enter(workers, 4, "plain");
+    enter(workers, 5, "plain");
+    DeadlineCapacity capacity =
+        new DeadlineCapacity(
+            new JobRegistry((before, now) -> {}), workers, DeadlineCapacityTest::type);
+    Map<String, Object> job = SimulatedCluster.job("req-1", "array", 8);
+    job.put("cores", cpus);
+    job.put("accelerators", gpus);
+    assertEquals(places, capacity.places(JobSpec.parse(job), NOW, NOW));
+  }
+
+  private static void enter(WorkerRegistry workers, int number, String type) {
+    String host = "vm-00000" + number;
+    String record = Worker.record(0, type, "a", false, NOW, false);
+    Map<String, Object> data = Map.of(Worker.field(host), record);
+    workers.changed(Worker.key(host), null, new StateStore.Entry(data, number));
+  }
+
+  private static MachineType type(String name) {
+    boolean accelerated = name.equals("accelerated");
+    return new MachineType(
+        name,
+        accelerated ? 16_000 : 4_000,
+        accelerated ? 2_000 : 0,
+        96_000,
+        60,
+        0.4,
+        5,
+        2,
+        READY,
+        List.of("a"));
+  }
+}
