--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -12,6 +12,7 @@
 import gladeknot.membership.ClusterFormat;
 import gladeknot.membership.Membership;
 import gladeknot.peer.PeerMessage;
+import gladeknot.placement.HomeSelector;
 import gladeknot.placement.Placer;
 import gladeknot.placement.RecordWriter;
 import gladeknot.placement.Scheduler;
@@ -47,6 +48,7 @@
   private final Placer placer;
   private final Budgets budgets;
   private final Fleet fleet;
+  private final HomeSelector homes;
   private final String nodeName;
 
   /** Wires the parts of a controller; nothing happens before the first {@link #tick}. */
@@ -80,6 +82,7 @@
             fleet::type,
             fleet::zonesOffered);
     fleet.setPlacer(placer);
+    homes = new HomeSelector(membership, jobs, workers, fleet::type);
     recordWriter.afterCommit(
         () -> {
           scheduler.touch();
@@ -305,7 +308,7 @@
 
     @Override
     public int homeShard(JobSpec spec) {
-      return membership.home();
+      return homes.home(spec);
     }
 
     @Override
