--- a/src/main/java/gladeknot/fleet/Capacity.java
+++ b/src/main/java/gladeknot/fleet/Capacity.java
@@ -17,13 +17,18 @@
     final MachineType type;
     final String zone;
     final boolean spot;
+
+    /** How many replicas of services are on it, which stay until their jobs are over. */
+    private final int replicas;
+
     private long cpus;
     private long gpus;
     private long memory;
     private boolean used;
 
-    Box(String host, MachineType type, String zone, boolean spot) {
+    Box(String host, MachineType type, String zone, boolean spot, int replicas) {
       this.host = host;
+      this.replicas = replicas;
       this.type = type;
       this.zone = zone;
       this.spot = spot;
@@ -67,11 +72,15 @@
     zones.add(box.zone);
   }
 
-  /** Puts the cheapest first; only while nothing is in them. */
+  /**
+   * Puts the cheapest first, of those the ones that replicas keep in any case, so that the others
+   * run empty; only while nothing is in them.
+   */
   void sort() {
     boxes.sort(
         Comparator.<Box>comparingInt(b -> b.type.gpus() > 0 ? 1 : 0)
             .thenComparingDouble(Box::pricePerCpu)
+            .thenComparing(b -> -b.replicas)
             .thenComparing(b -> b.host));
   }
 
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -315,12 +315,12 @@
     for (Worker w : workers.all()) {
       MachineType type = type(w.type());
       if (type != null && w.entered() && !w.leaving() && w.recallAtMicros() == 0) {
-        capacity.add(new Capacity.Box(w.host(), type, w.zone(), w.spot()));
+        capacity.add(new Capacity.Box(w.host(), type, w.zone(), w.spot(), placer.replicas(w)));
       }
     }
     for (Rental r : rentals) {
       for (int i = 0; i < r.number; i++) {
-        capacity.add(new Capacity.Box("", r.offer.type(), r.offer.zone, r.offer.spot));
+        capacity.add(new Capacity.Box("", r.offer.type(), r.offer.zone, r.offer.spot, 0));
       }
     }
     capacity.sort();
@@ -356,7 +356,7 @@
           break;
         }
         wanted.merge(offer, 1, Integer::sum);
-        Capacity.Box box = new Capacity.Box("", offer.type(), offer.zone, offer.spot);
+        Capacity.Box box = new Capacity.Box("", offer.type(), offer.zone, offer.spot, 0);
         capacity.add(box);
         int in = capacity.fill(box, spec, inZone, anywhere ? tasks - i : 1);
         if (in == 0) {
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -303,6 +303,16 @@
     return Math.max(nowMicros + run / 10, from + run);
   }
 
+  /** How many replicas of services that go on are on a machine, or on their way there. */
+  public int replicas(Worker worker) {
+    int count = 0;
+    for (Attempt a : worker.attempts().values()) {
+      Job job = a.closed() ? null : jobs.active(a.slice().job());
+      count += job != null && job.spec().shape() == JobSpec.Shape.SERVICE ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Services that go on, in the order in which they came. */
   public List<Job> services() {
     return jobs.active().stream()
--- a/src/test/java/gladeknot/fleet/CapacityTest.java
+++ b/src/test/java/gladeknot/fleet/CapacityTest.java
@@ -23,7 +23,7 @@
     Capacity capacity = new Capacity();
     for (int i = 0; i < machines; i++) {
       String zone = i % 3 == 0 ? "b" : "a";
-      capacity.add(new Capacity.Box(String.format("vm-%06d", i), TYPE, zone, false));
+      capacity.add(new Capacity.Box(String.format("vm-%06d", i), TYPE, zone, false, 0));
     }
     capacity.sort();
     return capacity;
@@ -43,6 +43,19 @@
     assertEquals(10, capacity.put(spec("array", 20), 20, new HashMap<>()));
   }
 
+  @Test
+  void machinesThatReplicasKeepAreNeededBeforeOthers() throws JobSpec.MalformedJobException {
+    Capacity capacity = new Capacity();
+    capacity.add(new Capacity.Box("vm-000001", TYPE, "a", false, 0));
+    capacity.add(new Capacity.Box("vm-000002", TYPE, "a", false, 1));
+    capacity.add(new Capacity.Box("vm-000003", TYPE, "a", false, 2));
+    capacity.sort();
+    capacity.put(spec("array", 1), 1, new HashMap<>());
+    List<String> used =
+        capacity.boxes().stream().filter(Capacity.Box::used).map(box -> box.host).toList();
+    assertEquals(List.of("vm-000003"), used);
+  }
+
   @Test
   void looksForEachTaskDoNotGrowWithTheFleet() throws JobSpec.MalformedJobException {
     double small = looksForEachTask(100);
