--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -37,11 +37,9 @@
   private static final long STEP_MICROS = 800_000;
   private static final long LIST_MICROS = 20_000_000;
 
-  /** The most that the protocol lets one request rent, and one release name. */
+  /** The most that the protocol lets one request rent. */
   private static final int MOST_AT_ONCE = 50;
 
-  private static final int MOST_RELEASED = 100;
-
   /**
    * How many waiting tasks one look at what waits goes through at least, and as many times as there
    * are machines: what a look costs is bounded, and every machine can get a task that fills it.
@@ -49,15 +47,10 @@
   private static final int LEAST_FORECAST = 3000;
 
   private static final int FORECAST_A_MACHINE = 2;
-  private static final int MOST_ERRORS = 4;
-  private static final long SILENT_MICROS = 8_000_000;
-  private static final long LEAST_BACK_MICROS = 10_000_000;
 
   /** Tasks are often longer than they are thought to be. */
   private static final double CAREFUL = 1.15;
 
-  private static final int ZONE_PATIENCE = 4;
-  private static final long LEAST_CHARGED_MICROS = 55_000_000;
   private static final long PLAN_MICROS = 2_000_000;
   private static final long TURN_MICROS = 4_000_000;
 
@@ -105,8 +98,7 @@
   private final Map<String, Long> strangers = new HashMap<>();
   private final Demand demand = new Demand();
 
-  /** Machines marked for release that wait for a call to the cloud. */
-  private final Map<String, Integer> toRelease = new LinkedHashMap<>();
+  private final MachineReleases releases;
 
   /** Machines by zone. */
   private final Map<String, Integer> inZones = new HashMap<>();
@@ -143,6 +135,17 @@
     this.outbox = outbox;
     double rps = settings.cloudLimits().rps() / settings.nodes().size();
     this.tokens = new TokenBucket(rps * 0.9, rps * 1.8);
+    this.releases =
+        new MachineReleases(
+            settings,
+            policy,
+            membership,
+            workers,
+            recordWriter,
+            scheduler,
+            outbox,
+            tokens,
+            offers::type);
   }
 
   public void setPlacer(Placer placer) {
@@ -179,12 +182,7 @@
     nextStepMicros = now + STEP_MICROS;
     slower = Math.max(1, Math.min(MOST_SLOWED, workers.all().size() / USUAL_FLEET));
     countZones();
-    for (int shard : List.copyOf(membership.owned())) {
-      if (membership.commitsFor(shard)) {
-        giveBack(shard);
-      }
-    }
-    sendReleases();
+    releases.step(now, wall);
     if (now >= nextRentMicros) {
       nextRentMicros = now + (long) (STEP_MICROS * slower) - STEP_MICROS / 2;
       Placer.Queue queue = placer.queue();
@@ -468,13 +466,15 @@
       long age = wallMicros - w.rentedWallMicros();
       long from = nowMicros;
       if (ours && w.report() != null) {
-        if (w.errors >= MOST_ERRORS || w.deaf() || nowMicros - w.reportMicros() > SILENT_MICROS) {
+        if (w.errors >= MachineReleases.MOST_ERRORS
+            || w.deaf()
+            || nowMicros - w.reportMicros() > MachineReleases.SILENT_MICROS) {
           continue;
         }
       } else if (w.attempts().isEmpty()) {
         // Not seen up. One that should be up long since is not counted on.
-        boolean late = age > 2 * type.readyMicros() + SILENT_MICROS;
-        if (late && ours && nowMicros - membership.sinceMicros(w.shard()) > backMicros()) {
+        boolean late = age > 2 * type.readyMicros() + MachineReleases.SILENT_MICROS;
+        if (late && ours && nowMicros - membership.sinceMicros(w.shard()) > releases.backMicros()) {
           continue;
         }
         from = nowMicros + Math.max(ours ? 1_000_000 : 0, type.readyMicros() - age);
@@ -697,138 +697,6 @@
     }
   }
 
-  /** Gives back what is idle, broken or never came up. */
-  private void giveBack(int shard) {
-    long silent = settings.workers().leaseMicros() * 3;
-    for (Worker w : workers.of(shard)) {
-      if (w.releasing) {
-        continue;
-      }
-      MachineType type = type(w.type());
-      long ready = type == null ? 60_000_000 : type.readyMicros();
-      boolean busy = !w.attempts().isEmpty();
-      String why = null;
-      if (w.leaving()) {
-        why = "marked for it";
-      } else if (w.report() == null) {
-        long age = Math.max(0, wallMicros - w.rentedWallMicros());
-        long here = nowMicros - membership.sinceMicros(shard);
-        long back = busy ? silent : backMicros();
-        if (age > 2 * ready + ready / 4 + 10_000_000 && here > back) {
-          why = busy ? "silent" : "never came up";
-        }
-      } else if (nowMicros - w.reportMicros() > silent
-          && (nowMicros - w.reportMicros() > ZONE_PATIENCE * silent || !zoneSilent(w))) {
-        why = "silent";
-      } else if (w.errors >= 4 && !busy) {
-        why = "fails tasks";
-      } else if (w.surelyDeaf() && !busy) {
-        why = "does not hear";
-      } else if (!busy && w.report().tasks().isEmpty()) {
-        if (w.idleSinceMicros == 0) {
-          w.idleSinceMicros = nowMicros;
-        }
-        if (nowMicros - w.idleSinceMicros > policy.micros(Policy.Name.IDLE_KEEP)
-            && w.unneeded
-            && wallMicros - w.rentedWallMicros() > LEAST_CHARGED_MICROS) {
-          why = "idle";
-        }
-      } else {
-        w.idleSinceMicros = 0;
-      }
-      if (why != null) {
-        release(w, why);
-      }
-    }
-  }
-
-  /**
-   * How long after a restart a machine may take to come back. It does so only once others have
-   * ceased to answer it, a lease and some reports later: by a shorter time healthy ones were given
-   * back with their tasks, and others rented in their place.
-   */
-  private long backMicros() {
-    long back = settings.workers().leaseMicros() + 4 * settings.workers().reportMicros();
-    return Math.max(back, LEAST_BACK_MICROS);
-  }
-
-  /**
-   * Whether most machines of a machine's zone are silent: then the zone is cut off rather than each
-   * of them broken, and they will be of use when the cut ends.
-   */
-  private boolean zoneSilent(Worker w) {
-    int all = 0;
-    int silent = 0;
-    for (Worker other : workers.all()) {
-      if (other.report() != null && other.zone().equals(w.zone())) {
-        all++;
-        silent += nowMicros - other.reportMicros() > SILENT_MICROS ? 1 : 0;
-      }
-    }
-    return silent >= 2 && silent * 2 > all;
-  }
-
-  private void release(Worker w, String why) {
-    w.releasing = true;
-    int shard = w.shard();
-    LOG.info("release {} of shard {}: {}", w.host(), shard, why);
-    if (w.leaving()) {
-      sendRelease(w.host(), shard);
-      return;
-    }
-    edit(
-        w.host(),
-        shard,
-        w.record(),
-        w.record(shard, true),
-        done -> {
-          if (done) {
-            sendRelease(w.host(), shard);
-          } else {
-            w.releasing = false;
-          }
-        });
-  }
-
-  private void sendRelease(String host, int shard) {
-    toRelease.put(host, shard);
-  }
-
-  /** Releases what waits for it, many machines with one call. */
-  private void sendReleases() {
-    if (toRelease.isEmpty() || !tokens.take(1, 0, nowMicros)) {
-      return;
-    }
-    Map<String, Integer> shards = new LinkedHashMap<>();
-    for (Map.Entry<String, Integer> e : toRelease.entrySet()) {
-      if (shards.size() < MOST_RELEASED) {
-        shards.put(e.getKey(), e.getValue());
-      }
-    }
-    toRelease.keySet().removeAll(shards.keySet());
-    outbox.call(
-        settings.cloud(),
-        "POST",
-        "/rentals/release",
-        Json.of("hosts", List.copyOf(shards.keySet())),
-        CALL_MICROS,
-        reply -> shards.forEach((host, shard) -> released(host, shard, reply.status() == 200)));
-  }
-
-  private void released(String host, int shard, boolean done) {
-    Worker w = workers.get(host);
-    if (!done) {
-      if (w != null) {
-        w.releasing = false;
-      }
-      return;
-    }
-    scheduler.machineGone(host, "machine released");
-    if (w != null && w.entered()) {
-      edit(host, shard, w.record(), Worker.RELEASED, ok -> {});
-    }
-  }
-
   /** Reads the cloud's list for machines that nobody has entered and for failed ones. */
   private void list(String from) {
     if (!tokens.take(1, 1, nowMicros)) {
@@ -868,7 +736,7 @@
       w.listed(Json.text(m, "endpoint"));
       boolean failed = "failed".equals(Json.text(m, "phase"));
       if (failed && !w.releasing && membership.commitsFor(w.shard())) {
-        release(w, "failed");
+        releases.release(w, "failed");
       }
       return;
     }
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -70,72 +70,6 @@
   /** All that waits for room, in the order in which it would get it. */
   public record Queue(List<Need> waiting) {}
 
-  /**
-   * A slice with tasks to start; {@code key} orders those of one rank. What stands before the key
-   * in the order is worked out once, as one number: each pass sorts all that waits.
-   */
-  private record Waiting(
-      Slice slice,
-      Job job,
-      boolean foreign,
-      boolean starved,
-      boolean guaranteed,
-      long key,
-      int order) {
-    private static final int RANK = 128;
-    private static final int NOT_STARVED = 64;
-    private static final int NOT_GUARANTEED = 32;
-
-    /** Between two tiers of deadlines, for whose it is. */
-    private static final int TIER = 2;
-
-    private Waiting(
-        Slice slice,
-        Job job,
-        JobSpec.Rank rank,
-        boolean foreign,
-        boolean starved,
-        boolean guaranteed,
-        long key) {
-      this(
-          slice,
-          job,
-          foreign,
-          starved,
-          guaranteed,
-          key,
-          rank.ordinal() * RANK
-              + (starved ? 0 : NOT_STARVED)
-              + (guaranteed ? 0 : NOT_GUARANTEED)
-              + Urgency.tier(key) * TIER
-              + (foreign ? 1 : 0));
-    }
-
-    /** The same for a slice of ours that takes its tasks over. */
-    private Waiting of(Slice own) {
-      return new Waiting(own, job, false, starved, guaranteed, key, order);
-    }
-
-    private static int inOrder(Waiting a, Waiting b) {
-      return a.order != b.order ? Integer.compare(a.order, b.order) : byKey(a, b);
-    }
-
-    private static int byKey(Waiting a, Waiting b) {
-      if (a.key != b.key) {
-        return Long.compare(a.key, b.key);
-      }
-      long first = a.job.readyMicros();
-      long second = b.job.readyMicros();
-      return first != second ? Long.compare(first, second) : a.job.id().compareTo(b.job.id());
-    }
-
-    private static int inQueue(Waiting a, Waiting b) {
-      int first = a.order & -NOT_GUARANTEED;
-      int second = b.order & -NOT_GUARANTEED;
-      return first != second ? Integer.compare(first, second) : byKey(a, b);
-    }
-  }
-
   private final Settings settings;
   private final Policy policy;
   private final Membership membership;
@@ -221,7 +155,7 @@
   /** What waits in all shards. */
   public Queue queue() {
     starveMicros = policy.micros(Policy.Name.STARVE_AFTER);
-    List<Waiting> all = new ArrayList<>();
+    List<WaitingSlice> all = new ArrayList<>();
     for (int shard = 0; shard < membership.shards(); shard++) {
       boolean ours = membership.commitsFor(shard);
       for (Slice s : slices.of(shard)) {
@@ -234,7 +168,7 @@
     all.sort(QUEUE_ORDER);
     List<Need> queue = new ArrayList<>();
     Map<String, Budgets.Amount> open = new HashMap<>();
-    for (Waiting w : all) {
+    for (WaitingSlice w : all) {
       JobSpec spec = w.job().spec();
       int count = w.slice().todoCount();
       // What its team's limit keeps from running anywhere needs no machine.
@@ -385,12 +319,12 @@
         rooms.add(Room.of(w, types.get(w.type())));
       }
     }
-    List<Waiting> all = new ArrayList<>();
+    List<WaitingSlice> all = new ArrayList<>();
     for (int from = 0; from < membership.shards(); from++) {
       waiting(from, shard, all);
     }
     all.sort(ORDER);
-    for (Waiting w : all) {
+    for (WaitingSlice w : all) {
       int rest = w.foreign() ? claim(w, shard, rooms) : place(w, rooms, shard);
       if (rest > 0) {
         await(w, rest, rooms, shard);
@@ -403,10 +337,10 @@
    * then what is due first, then what came first. The own shard's work that is late already must
    * not go before what can be in time elsewhere.
    */
-  private static final Comparator<Waiting> ORDER = Waiting::inOrder;
+  private static final Comparator<WaitingSlice> ORDER = WaitingSlice::inOrder;
 
   /** The same without regard to whose it is. */
-  private static final Comparator<Waiting> QUEUE_ORDER = Waiting::inQueue;
+  private static final Comparator<WaitingSlice> QUEUE_ORDER = WaitingSlice::inQueue;
 
   /** A running task's rank; what belongs to a job that is over is as good as gone. */
   public JobSpec.Rank rank(Attempt a) {
@@ -414,7 +348,7 @@
     return job == null ? JobSpec.Rank.IDLE : urgency.rank(job);
   }
 
-  private Waiting waiting(Slice s, Job job, boolean foreign) {
+  private WaitingSlice waiting(Slice s, Job job, boolean foreign) {
     // Work that newer work keeps going before would never begin under a steady load. Of an array
     // one
     // task is enough for that: all of it would make the rest late as well.
@@ -425,7 +359,8 @@
     boolean guaranteed =
         preemption.guaranteed(job.id())
             && wallMicros - job.readyMicros() < guaranteeMicros + GUARANTEE_MARGIN_MICROS;
-    return new Waiting(s, job, urgency.rank(job), foreign, starved, guaranteed, urgency.key(job));
+    return new WaitingSlice(
+        s, job, urgency.rank(job), foreign, starved, guaranteed, urgency.key(job));
   }
 
   private boolean begun(Job job) {
@@ -438,7 +373,7 @@
   }
 
   /** The slices of one shard that wait; those of others only once they have waited a while. */
-  private void waiting(int from, int shard, List<Waiting> into) {
+  private void waiting(int from, int shard, List<WaitingSlice> into) {
     boolean foreign = from != shard;
     starveMicros = policy.micros(Policy.Name.STARVE_AFTER);
     long claimMicros = policy.micros(Policy.Name.CLAIM_AFTER);
@@ -487,7 +422,7 @@
   }
 
   /** Places what it can of a slice; returns how many tasks wait for room. */
-  private int place(Waiting w, List<Room> rooms, int shard) {
+  private int place(WaitingSlice w, List<Room> rooms, int shard) {
     Slice s = w.slice();
     JobSpec spec = w.job().spec();
     int todo = s.todoCount();
@@ -542,7 +477,7 @@
    * there is, or it never comes to all it needs. Others that could claim it do the same once it has
    * starved, in turns: two that held on to a part each would wait for ever.
    */
-  private void holdBudget(Waiting w, int todo, int allowed, List<Room> rooms, int shard) {
+  private void holdBudget(WaitingSlice w, int todo, int allowed, List<Room> rooms, int shard) {
     JobSpec spec = w.job().spec();
     boolean turn = wallMicros / TURN_MICROS % membership.shards() == shard;
     if (!turn && (w.foreign() || w.starved())) {
@@ -703,7 +638,7 @@
    * Takes other shards' tasks that wait into a slice of ours, as far as they start at once. Returns
    * how many it had no room for.
    */
-  private int claim(Waiting w, int shard, List<Room> rooms) {
+  private int claim(WaitingSlice w, int shard, List<Room> rooms) {
     Slice from = w.slice();
     JobSpec spec = w.job().spec();
     boolean gang = spec.shape() == JobSpec.Shape.GANG;
@@ -782,7 +717,7 @@
    * For tasks that found no room: holds room that is being freed, and stops others for them where
    * that is allowed.
    */
-  private void await(Waiting w, int count, List<Room> rooms, int shard) {
+  private void await(WaitingSlice w, int count, List<Room> rooms, int shard) {
     JobSpec spec = w.job().spec();
     long waited = nowMicros - w.slice().waitingSinceMicros;
     boolean gang = spec.shape() == JobSpec.Shape.GANG;
