Tasks leave machines that are taken back in time, without waiting for their leases

Tasks that surely end too late and save nothing are stopped at once, others at the last moment, gangs as a whole so that their progress is saved.

--- a/src/main/java/gladeknot/placement/Preemption.java
+++ b/src/main/java/gladeknot/placement/Preemption.java
@@ -222,10 +222,12 @@
   /** The grace with which a task is stopped: enough to save if it can, else none. */
   double graceS(Attempt a) {
     Job job = jobs.active(a.slice().job());
-    if (job == null || job.spec().snapshotMicros() == 0) {
-      return 0;
-    }
-    return job.spec().flushMicros() / MICROS + GRACE_MARGIN_S;
+    return job == null ? 0 : graceS(job.spec());
+  }
+
+  /** The same for a task of a job that goes on. */
+  static double graceS(JobSpec spec) {
+    return spec.snapshotMicros() == 0 ? 0 : spec.flushMicros() / MICROS + GRACE_MARGIN_S;
   }
 
   /** Notes that a task is to be stopped. */
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -40,6 +40,7 @@
   private final TaskKiller taskKiller;
   private final ImageSizes types;
   private final Estimates estimates = new Estimates();
+  private final RecalledMachines recalledMachines;
   private final Set<String> finishing = new HashSet<>();
   private long nowMicros;
   private long wallMicros;
@@ -69,6 +70,7 @@
     this.recordWriter = recordWriter;
     this.taskKiller = new TaskKiller(membership, workers, outbox);
     this.types = types;
+    this.recalledMachines = new RecalledMachines(membership, jobs, workers, estimates);
   }
 
   /** Whether something happened since the last call that may let tasks be placed. */
@@ -102,6 +104,7 @@
     for (int shard : membership.owned()) {
       if (membership.commitsFor(shard)) {
         lapses(shard);
+        recalledMachines.drain(shard, now, this::kill);
       }
     }
     finals();
@@ -171,7 +174,7 @@
     return kills;
   }
 
-  /** TaskKiller an attempt, by direct commands and again with each report's answer. */
+  /** Kills an attempt, by direct commands and again with each report's answer. */
   void kill(Attempt a, double graceS) {
     if (a.killMicros == 0) {
       a.killMicros = nowMicros;
--- a/src/test/java/gladeknot/standin/CloudStandIn.java
+++ b/src/test/java/gladeknot/standin/CloudStandIn.java
@@ -52,6 +52,12 @@
     return List.copyOf(machines.values());
   }
 
+  /** Takes a machine back. */
+  public void take(String host) {
+    machines.remove(host);
+    changes++;
+  }
+
   /** How many times machines have been rented or given back. */
   public long changes() {
     return changes;
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -381,6 +381,12 @@
     }
   }
 
+  /** The cloud gives notice of taking a machine back, and does so. */
+  public void recall(String host, long noticeMicros) {
+    machines.get(host).worker.recall(now + noticeMicros);
+    later(noticeMicros, () -> cloud.take(host));
+  }
+
   /** A machine's reports get through, but no answer and no command does. */
   public void deafen(int nth, boolean deaf) {
     List<Machine> all = List.copyOf(machines.values());
--- a/src/test/java/gladeknot/standin/WorkerStandIn.java
+++ b/src/test/java/gladeknot/standin/WorkerStandIn.java
@@ -34,6 +34,7 @@
   private long token;
   private long renewedMicros;
   private long nowMicros;
+  private long recallAtMicros;
 
   /** Starts so far, as "task attempt". */
   public final List<String> starts = new ArrayList<>();
@@ -127,7 +128,7 @@
         "fence",
         token,
         "recallS",
-        null,
+        recallAtMicros == 0 ? null : (recallAtMicros - nowMicros) / 1e6,
         "strands",
         list);
   }
@@ -143,6 +144,11 @@
     Json.objects(answer, "orders").forEach(this::execute);
   }
 
+  /** The cloud gives notice that it takes the machine back. */
+  public void recall(long atMicros) {
+    recallAtMicros = atMicros;
+  }
+
   /** Whether its lease is over, also while it hangs and has not seen it yet. */
   public boolean lapsed(long now) {
     return now - renewedMicros > leaseMicros;
