--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -82,7 +82,7 @@
             fleet::type,
             fleet::zonesOffered);
     fleet.setPlacer(placer);
-    homes = new HomeSelector(membership, jobs, workers, fleet::type);
+    homes = new HomeSelector(settings, membership, jobs, workers, fleet::type);
     recordWriter.afterCommit(
         () -> {
           scheduler.touch();
--- a/src/main/java/gladeknot/placement/HomeSelector.java
+++ b/src/main/java/gladeknot/placement/HomeSelector.java
@@ -5,14 +5,17 @@
 import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobSpec;
 import gladeknot.membership.Membership;
+import gladeknot.settings.Settings;
 import gladeknot.workers.Worker;
 import gladeknot.workers.WorkerRegistry;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Chooses the home shard of a new job. Most jobs stay with the controller that accepts them. A
- * service lies whole in its home shard and is to start soon, so it goes where most of its replicas
- * find a machine with room that has their image already: a fetch can take longer than a service may
- * wait.
+ * service lies whole in its home shard. Where a fetch of its image takes longer than its class
+ * wants it to wait, it goes where most of its replicas find a machine with room that has the image
+ * already.
  */
 public final class HomeSelector {
   private final Membership membership;
@@ -20,9 +23,23 @@
   private final WorkerRegistry workers;
   private final Placer.Types types;
 
+  /**
+   * How long tasks of a class may wait for their start; classes without such an aim are left out.
+   */
+  private final Map<String, Long> waitMicros = new HashMap<>();
+
   /** A selector that goes by the machines and attempts in the followed copy. */
   public HomeSelector(
-      Membership membership, JobRegistry jobs, WorkerRegistry workers, Placer.Types types) {
+      Settings settings,
+      Membership membership,
+      JobRegistry jobs,
+      WorkerRegistry workers,
+      Placer.Types types) {
+    for (Settings.Objective objective : settings.objectives()) {
+      if (objective.kind().equals("wait")) {
+        waitMicros.merge(objective.jobClass(), objective.withinMicros(), Math::min);
+      }
+    }
     this.membership = membership;
     this.jobs = jobs;
     this.workers = workers;
@@ -32,10 +49,11 @@
   /** The shard that takes in a new job. */
   public int home(JobSpec spec) {
     int best = membership.home();
-    if (spec.shape() != JobSpec.Shape.SERVICE) {
+    Long within = waitMicros.get(spec.jobClass());
+    if (spec.shape() != JobSpec.Shape.SERVICE || within == null) {
       return best;
     }
-    int[] ready = readyReplicas(spec);
+    int[] ready = readyReplicas(spec, within);
     for (int shard = 0; shard < ready.length; shard++) {
       boolean more = ready[shard] > ready[best];
       if (more && membership.liveOwner(shard) != null) {
@@ -45,15 +63,19 @@
     return best;
   }
 
-  /** For how many of a job's replicas each shard has room on machines with the image. */
-  private int[] readyReplicas(JobSpec spec) {
+  /**
+   * For how many of a job's replicas each shard has room on machines that have the image and would
+   * otherwise fetch it for too long.
+   */
+  private int[] readyReplicas(JobSpec spec, long withinMicros) {
     int[] ready = new int[membership.shards()];
     for (Worker worker : workers.all()) {
       MachineType type = types.get(worker.type());
       boolean usable = type != null && worker.entered() && !worker.leaving() && !worker.releasing;
       if (usable && spec.allows(worker.type(), worker.zone(), worker.spot())) {
         learnImages(worker, type);
-        if (worker.hasImage(spec.image())) {
+        double fetchMicros = spec.imageGb() / type.fetchGbPerS() * 1e6;
+        if (fetchMicros > withinMicros && worker.hasImage(spec.image())) {
           int fitting = ready[worker.shard()] + Room.of(worker, type).fits(spec);
           ready[worker.shard()] = Math.min(spec.tasks(), fitting);
         }
--- a/src/test/java/gladeknot/app/HomeSelectorTest.java
+++ b/src/test/java/gladeknot/app/HomeSelectorTest.java
@@ -17,25 +17,30 @@
 
   @ParameterizedTest
   @CsvSource({
-    "service, img-there, 0",
-    "service, img-nowhere, 1",
-    "array, img-there, 1",
+    "service, scan, img-there, 8.0, 0",
+    "service, scan, img-there, 2.0, 1",
+    "service, scan, img-nowhere, 8.0, 1",
+    "service, batch, img-there, 8.0, 1",
+    "array, scan, img-there, 8.0, 1",
   })
-  void newJobsGoHome(String shape, String image, int shard) {
+  void newJobsGoHome(String shape, String jobClass, String image, double sizeGb, int shard) {
     SimulatedCluster cluster = new SimulatedCluster(3, 41);
     cluster.run(3 * SECOND);
-    cluster.submit(0, job("req-web-first", "service", "img-there"));
+    cluster.submit(0, job("req-web-first", "service", jobClass, "img-there", sizeGb));
     cluster.run(12 * SECOND);
     assertEquals("0", home(cluster, "req-web-first"));
-    cluster.submit(1, job("req-web-second", shape, image));
+    cluster.submit(1, job("req-web-second", shape, jobClass, image, sizeGb));
     cluster.run(SECOND);
     assertEquals(String.valueOf(shard), home(cluster, "req-web-second"));
     cluster.run(12 * SECOND);
     assertEquals(List.of(), cluster.broken());
   }
 
-  private static Map<String, Object> job(String id, String shape, String image) {
+  private static Map<String, Object> job(
+      String id, String shape, String jobClass, String image, double sizeGb) {
     Map<String, Object> job = SimulatedCluster.job(id, shape, 2);
+    job.put("jobclass", jobClass);
+    job.put("sizeGb", sizeGb);
     job.put("bundle", image);
     job.put("scatter", false);
     return job;
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -192,7 +192,8 @@
         Map.of("dev", new Settings.Team("dev", scale.teamCpus() / 3, scale.teamCpus(), 0, 0)),
         List.of(
             new Settings.Objective("deadline", "batch", 0, 0.9, 1),
-            new Settings.Objective("deadline", "batch", 0, 0.95, 1.5)),
+            new Settings.Objective("deadline", "batch", 0, 0.95, 1.5),
+            new Settings.Objective("wait", "scan", 5 * SECOND, 0.9, 0)),
         new Settings.Workers(REPORT, LEASE, 30 * SECOND, 5 * SECOND, CANCEL),
         new Settings.StateLimits(
             scale.stateRps(), scale.writeRps(), scale.valueBytes(), OPERATIONS),
