Membership parts by duty: StateLease and LeaseDelegations; no behaviour changed

The operators' 'care' is called delegation in the code now, as the design names it; stored names stay.

--- a/src/main/java/gladeknot/membership/ClusterFormat.java
+++ b/src/main/java/gladeknot/membership/ClusterFormat.java
@@ -143,16 +143,16 @@
   private Map<String, Long> allCurrent() {
     Map<String, Long> stamps = new LinkedHashMap<>();
     for (String node : nodes) {
-      StateStore.Entry alive = stateStore.get(Membership.aliveKey(node));
+      StateStore.Entry alive = stateStore.get(StateLease.key(node));
       if (alive == null || Json.num(alive.data(), FIELD_FORMAT, 1) < ANNOUNCED) {
         return null;
       }
-      stamps.put(Membership.aliveKey(node), alive.stamp());
+      stamps.put(StateLease.key(node), alive.stamp());
     }
     for (int shard = 0; shard < nodes.size(); shard++) {
       StateStore.Entry entry = stateStore.get(Membership.shardKey(shard));
       String owner = entry == null ? null : Json.text(entry.data(), Membership.FIELD_OWNER);
-      StateStore.Entry alive = owner == null ? null : stateStore.get(Membership.aliveKey(owner));
+      StateStore.Entry alive = owner == null ? null : stateStore.get(StateLease.key(owner));
       if (alive == null || incarnation(entry) != incarnation(alive)) {
         return null;
       }
--- a/src/main/java/gladeknot/placement/Attempt.java
+++ b/src/main/java/gladeknot/placement/Attempt.java
@@ -27,7 +27,7 @@
   /** Closed because its worker's lease has lapsed, as far as the care entry of that stamp tells. */
   boolean lapsed;
 
-  long careStamp;
+  long delegationStamp;
 
   /** Closed because it completed. */
   boolean finished;
--- a/src/main/java/gladeknot/placement/RecordWriter.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -492,8 +492,8 @@
     for (Attempt a : closed) {
       if (a.lapsed) {
         // Another controller may have begun to renew leases in our place: then nothing lapsed.
-        batch.conditions.merge(Membership.careKey(s.shard()), a.careStamp, Math::min);
-        keys.add(Membership.careKey(s.shard()));
+        batch.conditions.merge(Membership.delegationKey(s.shard()), a.delegationStamp, Math::min);
+        keys.add(Membership.delegationKey(s.shard()));
       }
     }
     if (job != null && s.starts()) {
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -390,7 +390,7 @@
   }
 
   private void lapses(int shard) {
-    long caredUntil = membership.caredUntilMicros(shard);
+    long caredUntil = membership.delegatedUntilMicros(shard);
     long lease = membership.times().lapsedAfterMicros();
     for (Slice s : List.copyOf(slices.of(shard))) {
       for (Attempt a : List.copyOf(s.out.values())) {
@@ -410,7 +410,7 @@
                 Math.max(w.answeredMicros(), a.decidedMicros()), membership.sinceMicros(shard));
         if (nowMicros - Math.max(since, caredUntil) > lease) {
           a.lapsed = true;
-          a.careStamp = membership.careStamp(shard);
+          a.delegationStamp = membership.delegationStamp(shard);
           gone(a, "lease lapsed");
         }
       }
--- a/src/main/java/gladeknot/workers/WorkerRequestHandler.java
+++ b/src/main/java/gladeknot/workers/WorkerRequestHandler.java
@@ -229,14 +229,14 @@
     }
     // It was sent to its controller and has come back: its lease is renewed here for a while, so
     // that its tasks outlive a restart, or a cut that leads to a change of hands.
-    if (membership.caresFor(shard)) {
-      careFor(request, body, report, shard, term);
+    if (membership.delegateFor(shard)) {
+      answerAsDelegate(request, body, report, shard, term);
     } else {
-      membership.care(
+      membership.becomeDelegate(
           shard,
           done -> {
             if (done) {
-              careFor(request, body, report, shard, term);
+              answerAsDelegate(request, body, report, shard, term);
             } else {
               outbox.answer(request, 421, Json.of("foreman", owner));
             }
@@ -250,12 +250,12 @@
    * committed by then. Whose job is over gets its kill, so that no delegation, however many follow
    * one another, keeps a cancelled task beyond its time; other commands are the owner's alone.
    */
-  private void careFor(long request, byte[] body, Report report, int shard, long term) {
+  private void answerAsDelegate(long request, byte[] body, Report report, int shard, long term) {
     stateStore.barrier(
         () -> {
           if (membership.actsFor(shard)) {
             hello(request, body);
-          } else if (membership.term(shard) == term && membership.caresFor(shard)) {
+          } else if (membership.term(shard) == term && membership.delegateFor(shard)) {
             outbox.answer(request, 200, Json.of("fence", term, "orders", sync.overdue(report)));
           } else {
             outbox.comeBack(request, 503, "its controller is changing", 1);
