--- a/src/main/java/gladeknot/membership/LeaseDelegations.java
+++ b/src/main/java/gladeknot/membership/LeaseDelegations.java
@@ -109,10 +109,10 @@
     String aliveKey = StateLease.key(settings.node());
     stateStore.commit(
         Map.of(shardKey, stateStore.stamp(shardKey), aliveKey, stateStore.stamp(aliveKey)),
-        List.of(
-            Write.put(key(shard), Json.of(FIELD_DELEGATE, settings.node(), FIELD_TERM, term))),
+        List.of(Write.put(key(shard), Json.of(FIELD_DELEGATE, settings.node(), FIELD_TERM, term))),
         outcome -> {
-          boolean done = outcome.result() == Result.DONE && term == Membership.term(stateStore, shard);
+          boolean done =
+              outcome.result() == Result.DONE && term == Membership.term(stateStore, shard);
           if (done) {
             LOG.info("cares for the workers of shard {} under term {}", shard, term);
             ownUntilMicros[shard] = times.delegateUntilMicros(sent);
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -264,8 +264,7 @@
     StateStore.Entry entry = stateStore.get(shardKey(shard));
     String owner = entry == null ? null : Json.text(entry.data(), FIELD_OWNER);
     boolean mine = settings.node().equals(owner);
-    boolean thisLife =
-        mine && Json.num(entry.data(), FIELD_INCARNATION, 0) == lease.incarnation();
+    boolean thisLife = mine && Json.num(entry.data(), FIELD_INCARNATION, 0) == lease.incarnation();
     if (owned.contains(shard) && !thisLife) {
       drop(shard);
     }
--- a/src/main/java/gladeknot/membership/StateLease.java
+++ b/src/main/java/gladeknot/membership/StateLease.java
@@ -121,8 +121,7 @@
       // is renewed while the watch is stuck would hide a cancellation or a takeover.
       nextReadMicros = nowMicros + intervalMicros();
       stateStore.barrier(
-          () -> {},
-          () -> nextReadMicros = Math.min(nextReadMicros, nowMicros + READ_RETRY_MICROS));
+          () -> {}, () -> nextReadMicros = Math.min(nextReadMicros, nowMicros + READ_RETRY_MICROS));
     }
   }
 
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -28,8 +28,6 @@
   private static final long CALL_MICROS = 2_500_000;
   private static final int FOLLOW_MS = 8_000;
   private static final long FOLLOW_GAP_MICROS = 110_000;
-  private static final long BARRIER_GAP_MICROS = 300_000;
-  private static final long BARRIER_WAIT_MICROS = 1_500_000;
   private static final String COMMIT = "/commit";
   private static final String NO_SUCH_LEASE = "no such lease";
   private static final int PAGE = 400;
@@ -80,20 +78,6 @@
     void changed(List<Change> changes);
   }
 
-  private static final class Barrier {
-    private final Runnable fresh;
-    private final Runnable failed;
-    private final long deadlineMicros;
-    private long epoch = -1;
-    private long sentMicros;
-
-    private Barrier(Runnable fresh, Runnable failed, long deadlineMicros) {
-      this.fresh = fresh;
-      this.failed = failed;
-      this.deadlineMicros = deadlineMicros;
-    }
-  }
-
   private final String address;
   private final Outbox outbox;
   private final Listener listener;
@@ -113,12 +97,7 @@
   private long nextFollowMicros;
   private TreeMap<String, Entry> page;
   private long pageEpoch;
-  private final List<Barrier> asked = new ArrayList<>();
-  private final List<Barrier> reading = new ArrayList<>();
-  private boolean barrierInFlight;
-  private long lastBarrierMicros = Long.MIN_VALUE / 2;
-  private long freshMicros = Long.MIN_VALUE / 2;
-  private final List<Map.Entry<Long, Runnable>> atEpoch = new ArrayList<>();
+  private final ReadBarriers barriers = new ReadBarriers();
   private long nowMicros;
 
   /** A client that has read nothing yet. */
@@ -154,7 +133,7 @@
 
   /** When the copy is known to have been current. */
   public long freshMicros() {
-    return freshMicros;
+    return barriers.freshMicros();
   }
 
   public Entry get(String key) {
@@ -201,27 +180,10 @@
     if (loaded && !following && now >= Math.max(retryMicros, nextFollowMicros)) {
       follow();
     }
-    if (!asked.isEmpty()
-        && !barrierInFlight
-        && loaded
-        && now - lastBarrierMicros >= BARRIER_GAP_MICROS
-        && requests.take(1, 1, now)) {
-      sendBarrier();
-    }
-    expire(asked);
-    expire(reading);
-  }
-
-  private void expire(List<Barrier> barriers) {
-    if (barriers.isEmpty()) {
-      return;
-    }
-    List<Barrier> late = barriers.stream().filter(b -> b.deadlineMicros <= nowMicros).toList();
-    if (late.isEmpty()) {
-      return;
+    if (loaded && barriers.wantRead(now) && requests.take(1, 1, now)) {
+      readForBarriers();
     }
-    barriers.removeAll(late);
-    late.forEach(b -> b.failed.run());
+    barriers.expire(now);
   }
 
   /** Any call to the state service. */
@@ -301,7 +263,7 @@
         });
     listener.changed(changes);
     LOG.info("state read at epoch {}: {} keys", epoch, view.size());
-    reachedEpoch();
+    barriers.reached(epoch);
   }
 
   private void backOff() {
@@ -337,7 +299,7 @@
           // Every change of every controller ends a watch: asked again at once, watches alone would
           // use up the calls that commits need.
           nextFollowMicros = nowMicros + FOLLOW_GAP_MICROS;
-          reachedEpoch();
+          barriers.reached(epoch);
         });
   }
 
@@ -358,30 +320,12 @@
     }
   }
 
-  private void reachedEpoch() {
-    if (!atEpoch.isEmpty()) {
-      List<Map.Entry<Long, Runnable>> due =
-          atEpoch.stream().filter(e -> e.getKey() <= epoch).toList();
-      atEpoch.removeAll(due);
-      due.forEach(e -> e.getValue().run());
-    }
-    if (reading.isEmpty()) {
-      return;
-    }
-    List<Barrier> done = reading.stream().filter(b -> b.epoch >= 0 && b.epoch <= epoch).toList();
-    reading.removeAll(done);
-    for (Barrier b : done) {
-      freshMicros = Math.max(freshMicros, b.sentMicros);
-      b.fresh.run();
-    }
-  }
-
   /** Runs something once the copy has reached an epoch. */
   public void whenAt(long wanted, Runnable then) {
     if (loaded && epoch >= wanted) {
       then.run();
     } else {
-      atEpoch.add(Map.entry(wanted, then));
+      barriers.whenAt(wanted, then);
     }
   }
 
@@ -389,13 +333,9 @@
   public void whenAt(long wanted, Runnable then, Runnable failed) {
     if (loaded && epoch >= wanted) {
       then.run();
-      return;
+    } else {
+      barriers.whenAt(wanted, then, failed, nowMicros);
     }
-    // It says nothing of how fresh the copy is: nothing was read for it.
-    Barrier b = new Barrier(then, failed, nowMicros + BARRIER_WAIT_MICROS);
-    b.epoch = wanted;
-    b.sentMicros = Long.MIN_VALUE / 2;
-    reading.add(b);
   }
 
   /**
@@ -403,34 +343,23 @@
    * when that can't be learnt soon. Many barriers share one read.
    */
   public void barrier(Runnable fresh, Runnable failed) {
-    asked.add(new Barrier(fresh, failed, nowMicros + BARRIER_WAIT_MICROS));
+    barriers.ask(fresh, failed, nowMicros);
   }
 
-  private void sendBarrier() {
-    barrierInFlight = true;
-    lastBarrierMicros = nowMicros;
-    List<Barrier> batch = List.copyOf(asked);
-    asked.clear();
-    batch.forEach(b -> b.sentMicros = nowMicros);
+  private void readForBarriers() {
+    List<ReadBarriers.Barrier> batch = barriers.startRead(nowMicros);
     call(
         "GET",
         BARRIER_KEY,
         null,
-        BARRIER_WAIT_MICROS,
+        ReadBarriers.WAIT_MICROS,
         reply -> {
-          barrierInFlight = false;
           long at = reply.status() == 404 ? Json.num(reply.object(), "epoch", -1) : -1;
-          if (at < 0) {
-            batch.forEach(b -> b.failed.run());
-            return;
-          }
-          batch.forEach(b -> b.epoch = at);
-          reading.addAll(batch);
-          reachedEpoch();
+          barriers.read(batch, at, epoch);
         });
   }
 
-  /** Sends a transaction. TokenBucket are the caller's affair, see {@link #takeWrites}. */
+  /** Sends a transaction. Tokens are the caller's affair, see {@link #takeWrites}. */
   public void commit(Map<String, Long> conditions, List<Write> changes, Consumer<Outcome> then) {
     List<Object> ifs = new ArrayList<>();
     conditions.forEach((key, stamp) -> ifs.add(Json.of("path", key, "stamp", stamp)));
