--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -1,6 +1,10 @@
 package gladeknot.app;
 
 import com.google.common.collect.Lists;
+import gladeknot.connectivity.Authority;
+import gladeknot.connectivity.ConnectivityMonitor;
+import gladeknot.connectivity.OwnerAdvisor;
+import gladeknot.connectivity.WorkerTraffic;
 import gladeknot.fleet.Fleet;
 import gladeknot.fleet.MachineType;
 import gladeknot.http.Json;
@@ -19,6 +23,7 @@
 import gladeknot.placement.Slice;
 import gladeknot.placement.SliceRegistry;
 import gladeknot.policy.Policy;
+import gladeknot.settings.Features;
 import gladeknot.settings.Settings;
 import gladeknot.state.StateStore;
 import gladeknot.teams.Budgets;
@@ -28,6 +33,7 @@
 import gladeknot.workers.WorkerRequestHandler;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /**
@@ -36,6 +42,7 @@
  */
 public final class Core implements StateStore.Listener {
   private final Outbox outbox = new Outbox();
+  private final Optional<ConnectivityMonitor> connectivity;
   private final StateStore stateStore;
   private final Membership membership;
   private final JobRegistry jobs;
@@ -52,11 +59,21 @@
   private final String nodeName;
 
   /** Wires the parts of a controller; nothing happens before the first {@link #tick}. */
-  public Core(Settings settings, Policy policy, RandomGenerator random) {
+  public Core(Settings settings, Features features, Policy policy, RandomGenerator random) {
     policy.settings(settings);
+    connectivity = features.partialCuts().map(f -> new ConnectivityMonitor(settings, f, outbox));
     nodeName = settings.node();
     stateStore = new StateStore(settings, outbox, random, this);
-    membership = new Membership(settings, policy, stateStore, new ShardListener());
+    membership =
+        new Membership(
+            settings,
+            policy,
+            stateStore,
+            connectivity.<Authority.StateLink>map(c -> c).orElse(Authority.StateLink.TRUSTED),
+            connectivity.<OwnerAdvisor>map(c -> c).orElse(OwnerAdvisor.NONE),
+            new ShardListener());
+    connectivity.ifPresent(
+        c -> c.attach(new CopiedShards(settings, membership, workers), membership.authority()));
     jobs = new JobRegistry(this::jobChanged);
     slices =
         new SliceRegistry(membership.shards(), membership.format()::partSplit, stateStore, workers);
@@ -91,13 +108,24 @@
     jobRequests = new JobRequestHandler(settings, stateStore, jobs, outbox, new JobSurroundings());
     workerRequests =
         new WorkerRequestHandler(
-            settings, stateStore, membership, workers, outbox, new WorkerSync());
+            settings,
+            stateStore,
+            membership,
+            workers,
+            outbox,
+            connectivity.map(ConnectivityMonitor::workerTraffic).orElse(WorkerTraffic.NONE),
+            new WorkerSync());
   }
 
   public Outbox outbox() {
     return outbox;
   }
 
+  /** What operators are shown of links and authority; empty without the feature. */
+  public Map<String, Object> status() {
+    return connectivity.map(ConnectivityMonitor::status).orElse(Map.of());
+  }
+
   private double cacheGb(String type) {
     MachineType t = fleet.type(type);
     return t == null ? 0 : t.cacheGb();
@@ -107,6 +135,7 @@
   public void tick(long nowMicros, long wallMicros) {
     // First of all what the others are entitled to is judged by this time, also after a stall.
     membership.now(nowMicros);
+    connectivity.ifPresent(c -> c.tick(nowMicros, wallMicros));
     slices.tick(nowMicros);
     stateStore.tick(nowMicros);
     membership.tick(nowMicros);
@@ -123,6 +152,7 @@
   public void message(PeerMessage message) {
     budgets.message(message);
     scheduler.withdrawnElsewhere(message.withdrawn());
+    connectivity.ifPresent(c -> c.message(message));
   }
 
   /** Takes a request; its answer comes out of the outbox under the same number. */
@@ -236,6 +266,7 @@
   private void shardLost(int shard) {
     recordWriter.lost(shard);
     workers.forget(shard);
+    connectivity.ifPresent(c -> c.lost(shard));
   }
 
   /** What the other parts do when shards change hands. */
@@ -316,6 +347,11 @@
       return scheduler.counts(job);
     }
 
+    @Override
+    public String refusal() {
+      return membership.authority().refusal();
+    }
+
     @Override
     public void withdrawn(List<String> ids) {
       for (List<String> part : Lists.partition(ids, PeerMessage.MOST_WITHDRAWN)) {
--- a/src/main/java/gladeknot/app/Main.java
+++ b/src/main/java/gladeknot/app/Main.java
@@ -1,6 +1,8 @@
 package gladeknot.app;
 
 import gladeknot.policy.Policy;
+import gladeknot.settings.FeatureReader;
+import gladeknot.settings.Features;
 import gladeknot.settings.Settings;
 import gladeknot.settings.SettingsReader;
 import java.io.IOException;
@@ -8,10 +10,6 @@
 import java.util.List;
 import java.util.Locale;
 import picocli.CommandLine;
-import picocli.CommandLine.Model.ArgSpec;
-import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.Model.OptionSpec;
-import picocli.CommandLine.Model.PositionalParamSpec;
 import picocli.CommandLine.ParseResult;
 
 /** The command line. */
@@ -42,32 +40,7 @@
 
   /** Runs a command; 0 also when the service was started and goes on. */
   static int run(String... args) {
-    CommandSpec root = CommandSpec.create().name("gladeknot");
-    root.usageMessage().description("A cluster scheduler: one of its controllers.");
-    root.version(VERSION);
-    root.addOption(
-        OptionSpec.builder("--config")
-            .paramLabel("FILE")
-            .type(Path.class)
-            .description("Serve with the platform's settings file (TOML).")
-            .build());
-    root.addOption(
-        OptionSpec.builder("--policy")
-            .paramLabel("FILE")
-            .type(Path.class)
-            .description("Operators' rules, laid over the shipped ones.")
-            .build());
-    root.addOption(help());
-    root.addOption(
-        OptionSpec.builder("-V", "--version")
-            .versionHelp(true)
-            .description("Print version.")
-            .build());
-    root.addSubcommand(
-        "check-config", fileCommand("Check a settings file; exit 2 if it has faults."));
-    root.addSubcommand(
-        "check-policy", fileCommand("Check a policy file; exit 2 if it has faults."));
-    CommandLine cli = new CommandLine(root);
+    CommandLine cli = new CommandLine(CommandSpecs.root(VERSION));
     ParseResult parsed;
     try {
       parsed = cli.parseArgs(args);
@@ -85,41 +58,33 @@
       return 0;
     }
     if (parsed.hasSubcommand()) {
-      ParseResult sub = parsed.subcommand();
-      Path file = sub.matchedPositional(0).getValue();
-      return sub.commandSpec().name().equals("check-config")
-          ? checkConfig(file)
-          : checkPolicy(file);
+      return runSubcommand(parsed.subcommand());
     }
-    if (!parsed.hasMatchedOption("--config")) {
+    if (!parsed.hasMatchedOption(CommandSpecs.CONFIG)) {
       cli.usage(System.err);
       return BAD_SETTINGS;
     }
-    ArgSpec policy = parsed.matchedOption("--policy");
     return serve(
-        parsed.matchedOption("--config").getValue(), policy == null ? null : policy.getValue());
+        parsed.matchedOptionValue(CommandSpecs.CONFIG, null),
+        parsed.matchedOptionValue(CommandSpecs.POLICY, null),
+        featureFiles(parsed));
   }
 
-  private static OptionSpec help() {
-    return OptionSpec.builder("-h", "--help")
-        .usageHelp(true)
-        .description("Print this help.")
-        .build();
+  private static int runSubcommand(ParseResult sub) {
+    return switch (sub.commandSpec().name()) {
+      case CommandSpecs.CHECK_CONFIG ->
+          checkConfig(sub.matchedPositionalValue(0, null), featureFiles(sub));
+      case CommandSpecs.CHECK_POLICY -> checkPolicy(sub.matchedPositionalValue(0, null));
+      default ->
+          new StatusCommand(System.out, System.err)
+              .run(
+                  sub.matchedPositionalValue(0, StatusCommand.DEFAULT_ADDRESS),
+                  sub.hasMatchedOption(CommandSpecs.JSON));
+    };
   }
 
-  private static CommandSpec fileCommand(String description) {
-    CommandSpec spec = CommandSpec.create();
-    spec.usageMessage().description(description);
-    spec.addPositional(
-        PositionalParamSpec.builder()
-            .paramLabel("FILE")
-            .type(Path.class)
-            .index("0")
-            .arity("1")
-            .required(true)
-            .build());
-    spec.addOption(help());
-    return spec;
+  private static List<Path> featureFiles(ParseResult parsed) {
+    return parsed.matchedOptionValue(CommandSpecs.FEATURE, List.<Path>of());
   }
 
   private static Settings load(Path file) {
@@ -128,8 +93,16 @@
     return result.settings();
   }
 
-  private static int checkConfig(Path file) {
-    return load(file) == null ? BAD_SETTINGS : 0;
+  private static Features loadFeatures(List<Path> files) {
+    FeatureReader.Result result = FeatureReader.read(files);
+    result.faults().forEach(System.err::println);
+    return result.features();
+  }
+
+  private static int checkConfig(Path file, List<Path> featureFiles) {
+    Settings settings = load(file);
+    Features features = loadFeatures(featureFiles);
+    return settings == null || features == null ? BAD_SETTINGS : 0;
   }
 
   private static int checkPolicy(Path file) {
@@ -138,16 +111,17 @@
     return faults.isEmpty() ? 0 : BAD_SETTINGS;
   }
 
-  private static int serve(Path file, Path policyFile) {
+  private static int serve(Path file, Path policyFile, List<Path> featureFiles) {
     Settings settings = load(file);
-    if (settings == null) {
+    Features features = loadFeatures(featureFiles);
+    if (settings == null || features == null) {
       return BAD_SETTINGS;
     }
     if (policyFile != null && checkPolicy(policyFile) != 0) {
       return BAD_SETTINGS;
     }
     try {
-      new Service(settings, Policy.load(policyFile)).start();
+      new Service(settings, features, Policy.load(policyFile)).start();
     } catch (IOException e) {
       System.err.println(policyFile + ": can't be read: " + e.getMessage());
       return BAD_SETTINGS;
--- a/src/main/java/gladeknot/app/Service.java
+++ b/src/main/java/gladeknot/app/Service.java
@@ -5,6 +5,8 @@
 import gladeknot.http.Outbox;
 import gladeknot.peer.PeerLinks;
 import gladeknot.policy.Policy;
+import gladeknot.settings.Features;
+import gladeknot.settings.PartialCuts;
 import gladeknot.settings.Settings;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -23,6 +25,7 @@
   private static final int OWN_SOCKETS = 100;
 
   private final Settings settings;
+  private final Features features;
   private final Core core;
   private final EventLoopGroup group;
   private final HttpServer server;
@@ -31,10 +34,11 @@
   private boolean draining;
 
   /** Prepares a controller; it begins to serve when it is started. */
-  public Service(Settings settings, Policy policy) {
+  public Service(Settings settings, Features features, Policy policy) {
     this.settings = settings;
+    this.features = features;
     long seed = settings.node().hashCode() * 31L + System.nanoTime();
-    this.core = new Core(settings, policy, new SplittableRandom(seed));
+    this.core = new Core(settings, features, policy, new SplittableRandom(seed));
     this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     int most = Math.max(50, settings.maxConnections() - OWN_SOCKETS);
     this.server = new HttpServer(this::request, most);
@@ -49,6 +53,10 @@
     server.listen(group, listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1)));
     peers.listen();
     LOG.info("{} listens on {}", settings.node(), listen);
+    features
+        .partialCuts()
+        .flatMap(PartialCuts::status)
+        .ifPresent(status -> new StatusListener(core::status).listen(group, status.listen()));
     group.next().execute(this::tick);
   }
 
--- /dev/null
+++ b/src/main/java/gladeknot/connectivity/Authority.java
@@ -0,0 +1,111 @@
+package gladeknot.connectivity;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/** Decides what may be done for a shard now, by {@link OrderKind}'s table. */
+public final class Authority {
+  /** What leases, transactions and the copy say of a shard. */
+  public interface ShardFacts {
+    /** Whether the shard is ours, not being given away, and our state lease surely holds. */
+    boolean leaseHolds(int shard);
+
+    /** Whether the outcome of a transaction for the shard is unknown. */
+    boolean inDoubt(int shard);
+
+    /** Whether the copy of the state has been read. */
+    boolean copyLoaded();
+
+    /** Whether the copy is new enough for starts to be sent by it. */
+    boolean copyFresh();
+  }
+
+  /** What links say; they can only take authority away. */
+  public interface StateLink {
+    /** Without knowledge of links nothing is taken away. */
+    StateLink TRUSTED =
+        new StateLink() {
+          @Override
+          public boolean usable() {
+            return true;
+          }
+
+          @Override
+          public String fault() {
+            return "";
+          }
+        };
+
+    /** Whether the state service can be reached in both directions, and serves. */
+    boolean usable();
+
+    /** The direction that fails and since when, in words; empty if none does. */
+    String fault();
+  }
+
+  private static final Set<Requirement> ORDERS =
+      EnumSet.complementOf(EnumSet.of(Requirement.LEASE));
+
+  private final ShardFacts facts;
+  private final StateLink stateLink;
+
+  /** Authority by the given facts. */
+  public Authority(ShardFacts facts, StateLink stateLink) {
+    this.facts = facts;
+    this.stateLink = stateLink;
+  }
+
+  /** Whether an order of this kind may be given for a shard. */
+  public boolean permits(OrderKind kind, int shard) {
+    for (Requirement requirement : kind.requirements()) {
+      if (!holds(requirement, shard)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Why users get no answer that is not final; null if they get one. */
+  public String refusal() {
+    return stateLink.usable() ? null : describe(Requirement.STATE_LINK);
+  }
+
+  /** A shard's authority as a whole. */
+  public AuthorityLevel level(int shard) {
+    if (!holds(Requirement.LEASE, shard)) {
+      return AuthorityLevel.RELINQUISHED;
+    }
+    return missing(shard) == null ? AuthorityLevel.FULL : AuthorityLevel.NO_NEW_ORDERS;
+  }
+
+  /** What keeps a shard from full authority, in words; empty if nothing does. */
+  public String cause(int shard) {
+    Requirement missing = holds(Requirement.LEASE, shard) ? missing(shard) : Requirement.LEASE;
+    return missing == null ? "" : describe(missing);
+  }
+
+  private Requirement missing(int shard) {
+    for (Requirement requirement : ORDERS) {
+      if (!holds(requirement, shard)) {
+        return requirement;
+      }
+    }
+    return null;
+  }
+
+  private String describe(Requirement requirement) {
+    String fault = stateLink.fault();
+    boolean byLink = requirement != Requirement.LOADED && !fault.isEmpty();
+    return byLink ? requirement.missing() + ": " + fault : requirement.missing();
+  }
+
+  private boolean holds(Requirement requirement, int shard) {
+    return switch (requirement) {
+      case LEASE -> facts.leaseHolds(shard);
+      case SETTLED -> !facts.inDoubt(shard);
+      case LOADED -> facts.copyLoaded();
+      case FRESH_COPY -> facts.copyFresh();
+      case STATE_LINK -> stateLink.usable();
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/connectivity/ConnectivityMonitor.java
@@ -0,0 +1,271 @@
+package gladeknot.connectivity;
+
+import gladeknot.connectivity.OwnerSelector.Candidate;
+import gladeknot.connectivity.ShardView.WorkerAddress;
+import gladeknot.http.Outbox;
+import gladeknot.peer.PeerMessage;
+import gladeknot.peer.PeerReach;
+import gladeknot.peer.PeerReach.ShardContact;
+import gladeknot.peer.PeerReach.ZoneReach;
+import gladeknot.settings.PartialCuts;
+import gladeknot.settings.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Follows this controller's links, tells the others what it reaches, and advises by that who should
+ * own a shard and whether new orders may be given. The feature {@code partial-cuts}.
+ */
+public final class ConnectivityMonitor implements Authority.StateLink, OwnerAdvisor {
+  private static final long UPDATE_MICROS = 100_000;
+
+  /** Between two looks for workers that are not ours any more. */
+  private static final long FORGET_MICROS = 1_000_000;
+
+  private final Settings settings;
+  private final PartialCuts feature;
+  private final Outbox outbox;
+  private final LinkTable links;
+  private final ServiceLinkObserver services;
+  private final WorkerLinkObserver workers;
+  private final PeerLinkObserver peers;
+  private final AuthorityLog log = new AuthorityLog();
+  private final Map<Integer, Long> unreachedSince = new HashMap<>();
+  private ShardView shards;
+  private Authority authority;
+  private ShardOffers offers;
+  private WorkerProbes probes;
+  private LinkTable.DirectionState stateFault;
+  private long nowMicros;
+  private long wallMicros;
+  private long nextUpdateMicros;
+  private long nextForgetMicros;
+  private long nextHeartbeatMicros;
+  private boolean begun;
+
+  /** A monitor that has seen nothing yet; {@link #attach} completes it. */
+  public ConnectivityMonitor(Settings settings, PartialCuts feature, Outbox outbox) {
+    this.settings = settings;
+    this.feature = feature;
+    this.outbox = outbox;
+    this.links = new LinkTable(feature);
+    this.services = new ServiceLinkObserver(settings, links);
+    this.workers = new WorkerLinkObserver(settings, links);
+    this.peers = new PeerLinkObserver(settings.node(), feature.links().heartbeatMicros(), links);
+    outbox.observe(services);
+  }
+
+  /** Gives it the shards that it is to advise on, and the authority that it is to tell of. */
+  public void attach(ShardView shardView, Authority shardAuthority) {
+    shards = shardView;
+    authority = shardAuthority;
+    offers = new ShardOffers(settings.node(), shards, links, feature);
+    probes = new WorkerProbes(settings.node(), shards, outbox, workers);
+  }
+
+  /** What hears of reports and answers. */
+  public WorkerTraffic workerTraffic() {
+    return workers;
+  }
+
+  /** Lets time pass; both clocks in microseconds, the steady one and the time of day. */
+  public void tick(long now, long wall) {
+    nowMicros = now;
+    wallMicros = wall;
+    if (!begun) {
+      begun = true;
+      peers.begin(wall);
+    }
+    services.now(now);
+    workers.tick(now);
+    peers.tick(now);
+    if (now < nextUpdateMicros) {
+      return;
+    }
+    nextUpdateMicros = now + UPDATE_MICROS;
+    if (now >= nextForgetMicros) {
+      nextForgetMicros = now + FORGET_MICROS;
+      forgetOthersWorkers();
+    }
+    links.update(now);
+    stateFault = links.unreachable(LinkId.STATE);
+    probes.tick(now);
+    for (int shard = 0; shard < shards.shards(); shard++) {
+      log.look(shard, authority, wall);
+    }
+    boolean offered = feature.handover().enabled() && offers.tick(now, this::chooseTaker);
+    if (offered || now >= nextHeartbeatMicros) {
+      tell();
+    }
+  }
+
+  /** Workers that were given back or lent say nothing of our links by their silence. */
+  private void forgetOthersWorkers() {
+    Set<String> ours = new HashSet<>();
+    for (int shard = 0; shard < shards.shards(); shard++) {
+      if (shards.ours(shard)) {
+        shards.workers(shard).forEach(w -> ours.add(w.host()));
+      }
+    }
+    for (String host : workers.ours()) {
+      if (!ours.contains(host)) {
+        workers.forget(host);
+      }
+    }
+  }
+
+  /** A shard has ceased to be ours. */
+  public void lost(int shard) {
+    workers.lost(shard);
+    unreachedSince.remove(shard);
+  }
+
+  /** Takes in what another controller tells. */
+  public void message(PeerMessage message) {
+    if (message.reach().isEmpty() || !isMember(message.from())) {
+      return;
+    }
+    PeerReach reach = message.reach().get();
+    if (peers.received(message.from(), reach)
+        && feature.handover().enabled()
+        && offers.received(message.from(), reach)) {
+      tell();
+    }
+  }
+
+  private boolean isMember(String node) {
+    return settings.members().stream().anyMatch(m -> m.node().equals(node));
+  }
+
+  private void tell() {
+    nextHeartbeatMicros = nowMicros + feature.links().heartbeatMicros();
+    PeerReach reach =
+        new PeerReach(
+            peers.life(),
+            peers.nextSequence(),
+            links.steady(LinkId.STATE),
+            peers.heard(),
+            zones(),
+            contacts(),
+            offers.offers(),
+            offers.accepts());
+    outbox.message(PeerMessage.ofReach(settings.node(), reach));
+  }
+
+  private List<ZoneReach> zones() {
+    Map<String, Integer> percents = new TreeMap<>();
+    for (LinkTable.DirectionState state : links.all()) {
+      if (state.link().kind() == LinkId.Kind.WORKERS) {
+        percents.merge(state.link().name(), ReachScore.of(state.verdict()), Math::min);
+      }
+    }
+    return percents.entrySet().stream()
+        .limit(PeerReach.MOST_ENTRIES)
+        .map(e -> new ZoneReach(e.getKey(), e.getValue()))
+        .toList();
+  }
+
+  private List<ShardContact> contacts() {
+    return workers.strays().entrySet().stream()
+        .limit(PeerReach.MOST_ENTRIES)
+        .map(e -> new ShardContact(e.getKey(), e.getValue()))
+        .toList();
+  }
+
+  private Map<String, Integer> workersByZone(int shard) {
+    Map<String, Integer> zones = new HashMap<>();
+    for (WorkerAddress worker : shards.workers(shard)) {
+      zones.merge(worker.zone(), 1, Integer::sum);
+    }
+    return zones;
+  }
+
+  private List<Candidate> candidates(int shard, Map<String, Integer> zones) {
+    List<String> ring = settings.nodes();
+    int home = ring.indexOf(shards.home(shard));
+    List<Candidate> candidates = new ArrayList<>();
+    for (Settings.Member member : settings.members()) {
+      PeerReach reach = peers.freshReach(member.node());
+      if (reach != null) {
+        int distance = Math.floorMod(ring.indexOf(member.node()) - home, ring.size());
+        candidates.add(
+            new Candidate(
+                member.node(), reach.stateSteady(), ReachScore.of(zones, reach, shard), distance));
+      }
+    }
+    return candidates;
+  }
+
+  private Optional<String> chooseTaker(int shard, List<String> leftOut) {
+    List<Candidate> candidates = candidates(shard, workersByZone(shard));
+    candidates.removeIf(c -> leftOut.contains(c.node()));
+    return OwnerSelector.best(candidates, 0).map(Candidate::node);
+  }
+
+  private int ownScore(int shard, Map<String, Integer> zones) {
+    return ReachScore.of(zones, zones(), contacts(), shard);
+  }
+
+  @Override
+  public String heir(int shard) {
+    if (!feature.handover().enabled()) {
+      return null;
+    }
+    Map<String, Integer> zones = workersByZone(shard);
+    int own = ownScore(shard, zones);
+    if (own >= ReachScore.UNKNOWN) {
+      unreachedSince.remove(shard);
+      return null;
+    }
+    long since = unreachedSince.computeIfAbsent(shard, s -> nowMicros);
+    if (nowMicros - since < feature.handover().offerAfterMicros() || offers.suppressed(shard)) {
+      return null;
+    }
+    return OwnerSelector.better(candidates(shard, zones), own).map(Candidate::node).orElse(null);
+  }
+
+  @Override
+  public boolean mayReturnHome(int shard, String home) {
+    PeerReach reach = peers.freshReach(home);
+    if (!feature.handover().enabled() || reach == null) {
+      return true;
+    }
+    return reach.stateSteady()
+        && !offers.suppressed(shard)
+        && ReachScore.of(workersByZone(shard), reach, shard) >= ReachScore.UNKNOWN;
+  }
+
+  @Override
+  public boolean yieldedToUs(int shard, String owner, long term) {
+    return feature.handover().enabled() && offers.yieldedToUs(shard, owner, term);
+  }
+
+  /** Who does not reach a shard's workers lets those who do go first. */
+  @Override
+  public long takeDelayMicros(int shard) {
+    boolean reached = ownScore(shard, workersByZone(shard)) >= ReachScore.UNKNOWN;
+    return reached ? 0 : 2 * feature.links().heartbeatMicros();
+  }
+
+  @Override
+  public boolean usable() {
+    return stateFault == null;
+  }
+
+  @Override
+  public String fault() {
+    return stateFault == null ? "" : StatusReport.describe(stateFault, nowMicros);
+  }
+
+  /** What operators are shown. */
+  public Map<String, Object> status() {
+    return new StatusReport(settings, shards, authority, links, peers)
+        .build(offers.offers(), log.last(), nowMicros, wallMicros);
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/connectivity/OrderKind.java
@@ -0,0 +1,55 @@
+package gladeknot.connectivity;
+
+import static gladeknot.connectivity.Requirement.FRESH_COPY;
+import static gladeknot.connectivity.Requirement.LEASE;
+import static gladeknot.connectivity.Requirement.LOADED;
+import static gladeknot.connectivity.Requirement.SETTLED;
+import static gladeknot.connectivity.Requirement.STATE_LINK;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/**
+ * Everything that a controller may do for a shard, with what must hold for it: the one table of
+ * authority. {@link Authority#permits} is the one place where it is looked up.
+ *
+ * <p>What keeps running tasks alive and what ends cancelled ones depends on leases alone; the state
+ * of links only ever takes new orders away.
+ */
+public enum OrderKind {
+  /** Sending a run that is committed. */
+  START(LEASE, FRESH_COPY, STATE_LINK),
+  /** Deciding starts and claims, and committing them. */
+  DECIDE(LEASE, SETTLED, LOADED, STATE_LINK),
+  /** Committing what has happened: ends, lapses, final states, records that move. */
+  RECORD(LEASE, SETTLED, LOADED),
+  /** Stopping a task for another's sake or to drain a machine. */
+  KILL(LEASE),
+  /** Stopping a task whose job is over: wanted whoever acts for the shard. */
+  KILL_OVERDUE(),
+  /** Removing an ended task whose end is committed. */
+  REAP(LEASE),
+  /** Answering a report, which renews the worker's lease. */
+  RENEW_LEASE(LEASE),
+  /** Renting machines and entering them. */
+  RENT(LEASE, SETTLED, LOADED, STATE_LINK),
+  /** Giving machines back, or lending them to another shard. */
+  RELEASE(LEASE, SETTLED, LOADED, STATE_LINK),
+  /** Changing a team's budgets. */
+  CHANGE_BUDGET(LEASE, SETTLED, LOADED, STATE_LINK),
+  /** Answers to users that are not final; final ones need nothing. */
+  ANSWER_USER(STATE_LINK);
+
+  private final Set<Requirement> requirements;
+
+  OrderKind(Requirement... requirements) {
+    EnumSet<Requirement> set = EnumSet.noneOf(Requirement.class);
+    set.addAll(java.util.List.of(requirements));
+    this.requirements = set;
+  }
+
+  /** What must hold, in the order in which it is looked at. */
+  public Set<Requirement> requirements() {
+    return requirements;
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/connectivity/OwnerAdvisor.java
@@ -0,0 +1,40 @@
+package gladeknot.connectivity;
+
+/** Advises who should own a shard, by what the controllers reach. */
+public interface OwnerAdvisor {
+  /** Without knowledge of links: the rules by liveness and home alone. */
+  OwnerAdvisor NONE =
+      new OwnerAdvisor() {
+        @Override
+        public String heir(int shard) {
+          return null;
+        }
+
+        @Override
+        public boolean mayReturnHome(int shard, String home) {
+          return true;
+        }
+
+        @Override
+        public boolean yieldedToUs(int shard, String owner, long term) {
+          return false;
+        }
+
+        @Override
+        public long takeDelayMicros(int shard) {
+          return 0;
+        }
+      };
+
+  /** Who should be given a shard of ours whose workers we don't reach; null if nobody is better. */
+  String heir(int shard);
+
+  /** Whether a shard that is ours may go back to its home controller. */
+  boolean mayReturnHome(int shard, String home);
+
+  /** Whether the owner of a shard does nothing more under a term, and has named us to take it. */
+  boolean yieldedToUs(int shard, String owner, long term);
+
+  /** How much longer we wait before taking a shard whose owner's lease has lapsed. */
+  long takeDelayMicros(int shard);
+}
--- /dev/null
+++ b/src/main/java/gladeknot/connectivity/PeerLinkObserver.java
@@ -0,0 +1,168 @@
+package gladeknot.connectivity;
+
+import gladeknot.peer.PeerReach;
+import gladeknot.peer.PeerReach.Heard;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Draws evidence on the links to the other controllers. A record that comes proves their direction
+ * to us. What a record says to have heard of us proves ours to them, also when a third controller
+ * passes it on, so that a link that fails one way is told from one that fails both ways.
+ */
+final class PeerLinkObserver {
+  /** Records whose time of sending is remembered. */
+  private static final int REMEMBERED = 128;
+
+  /** A record is overdue after so many intervals. */
+  private static final double OVERDUE_INTERVALS = 2.5;
+
+  /** What is known of one other controller. */
+  private static final class Peer {
+    private PeerReach reach;
+    private long receivedMicros;
+
+    /** The newest of our records that it has, by its own word or another's. */
+    private long echoedSequence;
+  }
+
+  private final String self;
+  private final long heartbeatMicros;
+  private final LinkTable links;
+  private final Map<String, Peer> peers = new TreeMap<>();
+  private final long[] sentMicros = new long[REMEMBERED];
+  private long life;
+  private long sequence;
+  private long nowMicros;
+
+  PeerLinkObserver(String self, long heartbeatMicros, LinkTable links) {
+    this.self = self;
+    this.heartbeatMicros = heartbeatMicros;
+    this.links = links;
+  }
+
+  /** Names this life of the process, by the time of day at which it began. */
+  void begin(long wallMicros) {
+    life = wallMicros;
+  }
+
+  long life() {
+    return life;
+  }
+
+  /** The number of the record that is sent now. */
+  long nextSequence() {
+    sequence++;
+    sentMicros[(int) (sequence % REMEMBERED)] = nowMicros;
+    return sequence;
+  }
+
+  /** What has been heard, here and at those who told of it, for the next record. */
+  List<Heard> heard() {
+    List<Heard> rows = new ArrayList<>();
+    peers.forEach(
+        (node, peer) -> rows.add(new Heard(self, node, peer.reach.life(), peer.reach.sequence())));
+    for (Map.Entry<String, Peer> entry : peers.entrySet()) {
+      if (fresh(entry.getValue())) {
+        for (Heard row : entry.getValue().reach.heard()) {
+          boolean own = row.observer().equals(entry.getKey());
+          if (own && rows.size() < PeerReach.MOST_ENTRIES) {
+            rows.add(row);
+          }
+        }
+      }
+    }
+    return rows.subList(0, Math.min(rows.size(), PeerReach.MOST_ENTRIES));
+  }
+
+  /** Takes in a record; returns whether it is newer than those before it. */
+  boolean received(String from, PeerReach reach) {
+    Peer peer = peers.computeIfAbsent(from, f -> new Peer());
+    PeerReach last = peer.reach;
+    if (last != null && !newer(peer, reach)) {
+      return false;
+    }
+    peer.reach = reach;
+    peer.receivedMicros = nowMicros;
+    links.health(LinkId.peer(from), Direction.INBOUND).proven(nowMicros);
+    for (Heard row : reach.heard()) {
+      Peer observer = peers.get(row.observer());
+      boolean ofUs = row.subject().equals(self) && row.life() == life;
+      if (ofUs && observer != null) {
+        echoed(row.observer(), observer, row.sequence());
+      }
+    }
+    return true;
+  }
+
+  /** A late copy is not; a new life is, also by a clock that went back while nothing was heard. */
+  private boolean newer(Peer peer, PeerReach reach) {
+    if (reach.life() == peer.reach.life()) {
+      return reach.sequence() > peer.reach.sequence();
+    }
+    return reach.life() > peer.reach.life() || !fresh(peer);
+  }
+
+  private void echoed(String node, Peer peer, long heardSequence) {
+    if (heardSequence > peer.echoedSequence && heardSequence <= sequence) {
+      peer.echoedSequence = heardSequence;
+      if (sequence - heardSequence < REMEMBERED) {
+        long sent = sentMicros[(int) (heardSequence % REMEMBERED)];
+        links.health(LinkId.peer(node), Direction.OUTBOUND).proven(sent);
+      }
+    }
+  }
+
+  /** Finds what is overdue. */
+  void tick(long now) {
+    nowMicros = now;
+    long overdueAfter = (long) (heartbeatMicros * OVERDUE_INTERVALS);
+    peers.forEach(
+        (node, peer) -> {
+          if (now - peer.receivedMicros > overdueAfter) {
+            links
+                .health(LinkId.peer(node), Direction.INBOUND)
+                .overdue(peer.receivedMicros + heartbeatMicros);
+          }
+          long next = peer.echoedSequence + 1;
+          boolean remembered = next <= sequence && sequence - next < REMEMBERED;
+          long sent = sentMicros[(int) (next % REMEMBERED)];
+          // Without any word from it, by whomever, nothing is known of this direction.
+          if (remembered && witnessed(node, sent + overdueAfter)) {
+            links.health(LinkId.peer(node), Direction.OUTBOUND).overdue(sent);
+          }
+        });
+  }
+
+  /** Whether a controller's own word, direct or passed on, has come here since some moment. */
+  private boolean witnessed(String node, long sinceMicros) {
+    if (nowMicros < sinceMicros) {
+      return false;
+    }
+    if (peers.get(node).receivedMicros >= sinceMicros) {
+      return true;
+    }
+    return peers.entrySet().stream()
+        .filter(e -> e.getValue().receivedMicros >= sinceMicros)
+        .flatMap(e -> e.getValue().reach.heard().stream())
+        .anyMatch(row -> row.observer().equals(node));
+  }
+
+  private boolean fresh(Peer peer) {
+    return nowMicros - peer.receivedMicros <= heartbeatMicros * OVERDUE_INTERVALS;
+  }
+
+  /** How long ago a controller was heard; below 0 if it never was. */
+  long heardAgoMicros(String node) {
+    Peer peer = peers.get(node);
+    return peer == null ? -1 : nowMicros - peer.receivedMicros;
+  }
+
+  /** The newest record of a controller that is not older than its use; null if there is none. */
+  PeerReach freshReach(String node) {
+    Peer peer = peers.get(node);
+    return peer != null && fresh(peer) ? peer.reach : null;
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/connectivity/ShardOffers.java
@@ -0,0 +1,202 @@
+package gladeknot.connectivity;
+
+import gladeknot.peer.PeerReach;
+import gladeknot.peer.PeerReach.ShardAccept;
+import gladeknot.peer.PeerReach.ShardOffer;
+import gladeknot.settings.PartialCuts;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * How a controller without the state service hands a shard to one that has it: it offers the shard
+ * under its present term, the other accepts, it yields, and then alone the other takes it with a
+ * write that is conditional on the shard's key. An owner goes on as its leases allow until it
+ * yields, so that an offer which nobody takes costs nothing; once it has yielded it does nothing
+ * more under that term, whatever it hears later.
+ */
+final class ShardOffers {
+  private static final Logger LOG = LoggerFactory.getLogger(ShardOffers.class);
+
+  /** An offer that is not accepted within so many records is withdrawn. */
+  private static final int ACCEPT_INTERVALS = 3;
+
+  /** Who did not accept is not asked again for so many records. */
+  private static final int DECLINED_INTERVALS = 10;
+
+  /** What we have offered of one shard. */
+  private record Offer(long term, String to, long sinceMicros, boolean yielded) {}
+
+  /** What another has offered us of one shard. */
+  private record Received(long term, String from, boolean yielded) {}
+
+  private final String self;
+  private final ShardView shards;
+  private final LinkTable links;
+  private final long heartbeatMicros;
+  private final long offerAfterMicros;
+  private final Map<Integer, Long> failingSince = new HashMap<>();
+  private final Map<Integer, Offer> offers = new HashMap<>();
+  private final Map<Integer, Received> received = new HashMap<>();
+  private final Map<String, Long> declinedUntil = new HashMap<>();
+  private final Map<Integer, FlapDamping> damping = new HashMap<>();
+  private final Map<Integer, Long> seenTerm = new HashMap<>();
+  private long nowMicros;
+
+  ShardOffers(String self, ShardView shards, LinkTable links, PartialCuts settings) {
+    this.self = self;
+    this.shards = shards;
+    this.links = links;
+    this.heartbeatMicros = settings.links().heartbeatMicros();
+    this.offerAfterMicros = settings.handover().offerAfterMicros();
+  }
+
+  /** Chooses to whom a shard is offered, among those that are not left out. */
+  interface Chooser {
+    Optional<String> choose(int shard, List<String> leftOut);
+  }
+
+  /** Makes, renews and withdraws offers; returns whether there is something to tell at once. */
+  boolean tick(long now, Chooser chooser) {
+    nowMicros = now;
+    boolean changed = false;
+    for (int shard = 0; shard < shards.shards(); shard++) {
+      followTerm(shard);
+      if (shards.ours(shard)) {
+        changed |= offer(shard, chooser);
+      } else {
+        offers.remove(shard);
+        failingSince.remove(shard);
+      }
+    }
+    return changed;
+  }
+
+  /** A new term ends what was said under the one before, and counts as a change of owner. */
+  private void followTerm(int shard) {
+    long term = shards.term(shard);
+    Long before = seenTerm.put(shard, term);
+    if (before != null && before != term) {
+      damping(shard).changed(nowMicros);
+      offers.remove(shard);
+      received.remove(shard);
+    }
+  }
+
+  private FlapDamping damping(int shard) {
+    return damping.computeIfAbsent(shard, s -> links.newDamping());
+  }
+
+  /** Whether a shard has changed hands too often of late to do so again. */
+  boolean suppressed(int shard) {
+    return damping(shard).suppressed(nowMicros);
+  }
+
+  private boolean offer(int shard, Chooser chooser) {
+    Offer offer = offers.get(shard);
+    if (offer != null && offer.yielded()) {
+      return false;
+    }
+    if (links.unreachable(LinkId.STATE) == null) {
+      failingSince.remove(shard);
+      return offers.remove(shard) != null;
+    }
+    long since = failingSince.computeIfAbsent(shard, s -> nowMicros);
+    if (nowMicros - since < offerAfterMicros || suppressed(shard)) {
+      return false;
+    }
+    if (offer != null) {
+      if (nowMicros - offer.sinceMicros() < ACCEPT_INTERVALS * heartbeatMicros) {
+        return false;
+      }
+      declinedUntil.put(key(shard, offer.to()), nowMicros + DECLINED_INTERVALS * heartbeatMicros);
+      offers.remove(shard);
+    }
+    declinedUntil.values().removeIf(until -> until <= nowMicros);
+    Optional<String> to = chooser.choose(shard, declined(shard));
+    to.ifPresent(node -> offers.put(shard, new Offer(shards.term(shard), node, nowMicros, false)));
+    return to.isPresent();
+  }
+
+  private static String key(int shard, String node) {
+    return shard + "/" + node;
+  }
+
+  private List<String> declined(int shard) {
+    String prefix = shard + "/";
+    return declinedUntil.keySet().stream()
+        .filter(k -> k.startsWith(prefix))
+        .map(k -> k.substring(prefix.length()))
+        .toList();
+  }
+
+  /** Takes in another's record; returns whether there is something to tell at once. */
+  boolean received(String from, PeerReach reach) {
+    boolean changed = false;
+    received.values().removeIf(r -> r.from().equals(from));
+    for (ShardOffer offer : reach.offers()) {
+      if (offer.to().equals(self) && mayTake(from, offer)) {
+        received.put(offer.shard(), new Received(offer.term(), from, offer.yielded()));
+        changed |= !offer.yielded();
+      }
+    }
+    for (ShardAccept accept : reach.accepts()) {
+      changed |= accepted(from, accept);
+    }
+    return changed;
+  }
+
+  private boolean mayTake(String from, ShardOffer offer) {
+    int shard = offer.shard();
+    boolean known = shard < shards.shards();
+    return known
+        && from.equals(shards.owner(shard))
+        && shards.term(shard) == offer.term()
+        && (offer.yielded() || (links.steady(LinkId.STATE) && !suppressed(shard)));
+  }
+
+  private boolean accepted(String from, ShardAccept accept) {
+    Offer offer = offers.get(accept.shard());
+    boolean asked =
+        offer != null
+            && !offer.yielded()
+            && accept.from().equals(self)
+            && offer.to().equals(from)
+            && offer.term() == accept.term()
+            && shards.ours(accept.shard());
+    if (!asked) {
+      return false;
+    }
+    LOG.info("shard {} yielded to {} under term {}", accept.shard(), from, offer.term());
+    offers.put(accept.shard(), new Offer(offer.term(), offer.to(), offer.sinceMicros(), true));
+    shards.yield(accept.shard());
+    return true;
+  }
+
+  /** Whether the owner of a shard has yielded it to us under a term. */
+  boolean yieldedToUs(int shard, String owner, long term) {
+    Received offer = received.get(shard);
+    return offer != null && offer.yielded() && offer.from().equals(owner) && offer.term() == term;
+  }
+
+  /** What is offered, for the next record. */
+  List<ShardOffer> offers() {
+    List<ShardOffer> told = new ArrayList<>();
+    offers.forEach(
+        (shard, offer) ->
+            told.add(new ShardOffer(shard, offer.term(), offer.to(), offer.yielded())));
+    return told.subList(0, Math.min(told.size(), PeerReach.MOST_ENTRIES));
+  }
+
+  /** What is accepted, for the next record. */
+  List<ShardAccept> accepts() {
+    List<ShardAccept> told = new ArrayList<>();
+    received.forEach(
+        (shard, offer) -> told.add(new ShardAccept(shard, offer.term(), offer.from())));
+    return told.subList(0, Math.min(told.size(), PeerReach.MOST_ENTRIES));
+  }
+}
--- /dev/null
+++ b/src/main/java/gladeknot/connectivity/ShardView.java
@@ -0,0 +1,29 @@
+package gladeknot.connectivity;
+
+import java.util.Collection;
+
+/** What is known of shards, their owners and their workers, by the copy of the state. */
+public interface ShardView {
+  /** A worker as far as it is needed to reach it; the endpoint may be unknown, and null. */
+  record WorkerAddress(String host, String zone, String endpoint) {}
+
+  int shards();
+
+  /** The controller that a shard belongs to while all is well. */
+  String home(int shard);
+
+  /** The owner by the shard's key, alive or not; null if there is none. */
+  String owner(int shard);
+
+  /** The term by the shard's key. */
+  long term(int shard);
+
+  /** Whether a shard is ours in this life of the process. */
+  boolean ours(int shard);
+
+  /** Stops everything that is done for a shard of ours until its key has changed. */
+  void yield(int shard);
+
+  /** The workers of a shard. */
+  Collection<WorkerAddress> workers(int shard);
+}
--- /dev/null
+++ b/src/main/java/gladeknot/connectivity/WorkerTraffic.java
@@ -0,0 +1,23 @@
+package gladeknot.connectivity;
+
+/** Hears of the workers' reports and of the answers to them. */
+public interface WorkerTraffic {
+  /** Hears of nothing. */
+  WorkerTraffic NONE =
+      new WorkerTraffic() {
+        @Override
+        public void reported(Arrival arrival) {}
+
+        @Override
+        public void answered(String host) {}
+      };
+
+  /** A report as it came: whose, and whether this controller acts for its shard. */
+  record Arrival(String host, String zone, int shard, boolean ours, long tenure, long tick) {}
+
+  /** A report has come that is newer than those before it. */
+  void reported(Arrival arrival);
+
+  /** A report of a worker of ours is answered with 200. */
+  void answered(String host);
+}
--- a/src/main/java/gladeknot/fleet/Fleet.java
+++ b/src/main/java/gladeknot/fleet/Fleet.java
@@ -1,5 +1,6 @@
 package gladeknot.fleet;
 
+import gladeknot.connectivity.OrderKind;
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
 import gladeknot.jobs.Job;
@@ -371,7 +372,7 @@
     }
     // One shard's owner rents ahead at a time, in turns by the time of day.
     int shard = (int) (wallMicros / TURN_MICROS % membership.shards());
-    if (membership.commitsFor(shard)) {
+    if (membership.permits(OrderKind.RENT, shard)) {
       for (Map.Entry<Offers.Offer, Integer> e : wanted.entrySet()) {
         hire(e.getKey(), e.getValue(), shard);
       }
@@ -429,7 +430,7 @@
       }
       for (Worker w : workers.all()) {
         boolean free =
-            membership.commitsFor(w.shard())
+            membership.permits(OrderKind.RELEASE, w.shard())
                 && placer.usable(w)
                 && w.attempts().isEmpty()
                 && w.report().tasks().isEmpty();
@@ -691,7 +692,7 @@
   /** A machine that reports and that nobody has entered. */
   public void adopt(Report report) {
     int shard = membership.home();
-    if (membership.commitsFor(shard) && !workers.released(report.host())) {
+    if (membership.permits(OrderKind.RENT, shard) && !workers.released(report.host())) {
       LOG.info("adopt {} for shard {}", report.host(), shard);
       enter(report.host(), shard, shard, report.type(), report.zone(), report.spot());
     }
@@ -735,7 +736,7 @@
       strangers.remove(host);
       w.listed(Json.text(m, "endpoint"));
       boolean failed = "failed".equals(Json.text(m, "phase"));
-      if (failed && !w.releasing && membership.commitsFor(w.shard())) {
+      if (failed && !w.releasing && membership.permits(OrderKind.RELEASE, w.shard())) {
         releases.release(w, "failed");
       }
       return;
@@ -748,7 +749,7 @@
     int shard = membership.home();
     if (nowMicros - since > 4 * settings.cloudLimits().listLagMicros() + LIST_MICROS
         && Math.floorMod(host.hashCode(), membership.shards()) == shard
-        && membership.commitsFor(shard)) {
+        && membership.permits(OrderKind.RENT, shard)) {
       LOG.info("adopt {} for shard {}: listed, and nobody has entered it", host, shard);
       enter(
           host,
--- a/src/main/java/gladeknot/fleet/MachineReleases.java
+++ b/src/main/java/gladeknot/fleet/MachineReleases.java
@@ -1,5 +1,6 @@
 package gladeknot.fleet;
 
+import gladeknot.connectivity.OrderKind;
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
 import gladeknot.membership.Membership;
@@ -95,7 +96,7 @@
     nowMicros = now;
     wallMicros = wall;
     for (int shard : List.copyOf(membership.owned())) {
-      if (membership.commitsFor(shard)) {
+      if (membership.permits(OrderKind.RELEASE, shard)) {
         giveBack(shard);
       }
     }
--- a/src/main/java/gladeknot/http/Outbox.java
+++ b/src/main/java/gladeknot/http/Outbox.java
@@ -39,15 +39,23 @@
   private final List<Answer> answers = new ArrayList<>();
   private final List<PeerMessage> messages = new ArrayList<>();
   private final Map<Long, ReplyHandler> waiting = new HashMap<>();
+  private CallObserver observer = CallObserver.NONE;
   private long nextId = 1;
 
+  /** Lets an observer hear of every call from now on. */
+  public void observe(CallObserver callObserver) {
+    observer = callObserver;
+  }
+
   /** Adds a call; the handler gets its reply, with status 0 if none came in time. */
   public void call(
       String address, String method, String path, Object body, long timeoutMicros, ReplyHandler h) {
     long id = nextId++;
     waiting.put(id, h);
     byte[] bytes = body == null ? new byte[0] : Json.bytes(body);
-    calls.add(new Call(id, address, method, path, bytes, timeoutMicros));
+    Call call = new Call(id, address, method, path, bytes, timeoutMicros);
+    calls.add(call);
+    observer.called(call);
   }
 
   public void answer(long request, int status, Object body) {
@@ -63,6 +71,7 @@
   public void reply(long callId, Reply reply) {
     ReplyHandler handler = waiting.remove(callId);
     if (handler != null) {
+      observer.replied(callId, reply.status());
       handler.on(reply);
     }
   }
--- a/src/main/java/gladeknot/jobs/JobRequestHandler.java
+++ b/src/main/java/gladeknot/jobs/JobRequestHandler.java
@@ -41,6 +41,9 @@
     /** Done and running tasks of a job that goes on. */
     int[] counts(Job job);
 
+    /** Why answers that are not final can't be given now; null if they can. */
+    String refusal();
+
     /** Tells the other controllers of jobs whose cancellation has just been committed. */
     void withdrawn(List<String> ids);
   }
@@ -84,8 +87,7 @@
       outbox.answer(request, 400, Json.of("error", e.getMessage()));
       return;
     }
-    if (!stateStore.loaded()) {
-      outbox.comeBack(request, 503, "the state is not read yet", 1);
+    if (withheld(request)) {
       return;
     }
     if (known(spec.id())) {
@@ -148,6 +150,16 @@
     enqueue(new Pending(request, spec.id(), spec, false, nowMicros));
   }
 
+  /** Refuses a request at once while nothing new can be learnt; returns whether it did. */
+  private boolean withheld(long request) {
+    String why = stateStore.loaded() ? around.refusal() : "the state is not read yet";
+    if (why == null) {
+      return false;
+    }
+    outbox.comeBack(request, 503, why, 1);
+    return true;
+  }
+
   private String refusal(JobSpec spec) {
     Settings.Team team = settings.teams().get(spec.team());
     if (team == null) {
@@ -178,8 +190,7 @@
     if (over(request, id, true)) {
       return;
     }
-    if (!stateStore.loaded()) {
-      outbox.comeBack(request, 503, "the state is not read yet", 1);
+    if (withheld(request)) {
       return;
     }
     stateStore.barrier(
@@ -223,8 +234,7 @@
     if (over(request, id, false)) {
       return;
     }
-    if (!stateStore.loaded()) {
-      outbox.comeBack(request, 503, "the state is not read yet", 1);
+    if (withheld(request)) {
       return;
     }
     if (jobs.unfinished(id) != null) {
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -1,5 +1,8 @@
 package gladeknot.membership;
 
+import gladeknot.connectivity.Authority;
+import gladeknot.connectivity.OrderKind;
+import gladeknot.connectivity.OwnerAdvisor;
 import gladeknot.http.Json;
 import gladeknot.policy.Policy;
 import gladeknot.settings.Settings;
@@ -24,7 +27,7 @@
  * by the present owner, or to any node once the owner's leased liveness key is gone. Each change
  * draws a new term from one global counter.
  */
-public final class Membership {
+public final class Membership implements Authority.ShardFacts {
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
 
   /** Fields of a shard's and of a liveness key that others read too. */
@@ -42,9 +45,17 @@
 
   private static final long STEP_MICROS = 400_000;
 
+  /** How long the first in the ring waits before it takes a lapsed shard, and each next one. */
+  private static final long TAKE_MICROS = 100_000;
+
+  private static final long TAKE_STEP_MICROS = 500_000;
+
   /** How long a shard stays with the controller that its workers could reach. */
   private static final long KEEP_MICROS = 45_000_000;
 
+  /** Starts are sent by a copy that is no older than this part of the state lease. */
+  private static final int FRESH_PART = 3;
+
   /** Hears when a shard begins and ceases to be ours. */
   public interface Listener {
     /** Ours now, under a new term or after an unclear commit: read its slices anew. */
@@ -65,6 +76,8 @@
   private final ClusterFormat format;
   private final StateLease lease;
   private final LeaseDelegations delegations;
+  private final Authority authority;
+  private final OwnerAdvisor advisor;
 
   private long nowMicros;
   private final Set<Integer> owned = new HashSet<>();
@@ -77,7 +90,13 @@
   private long nextMoveMicros;
 
   /** A member that has no lease and owns no shard yet. */
-  public Membership(Settings settings, Policy policy, StateStore stateStore, Listener listener) {
+  public Membership(
+      Settings settings,
+      Policy policy,
+      StateStore stateStore,
+      Authority.StateLink stateLink,
+      OwnerAdvisor advisor,
+      Listener listener) {
     this.settings = settings;
     this.nodes = settings.nodes();
     this.home = nodes.indexOf(settings.node());
@@ -87,6 +106,8 @@
     this.times = LeaseTimes.of(settings.workers(), policy.micros(Policy.Name.STATE_LEASE));
     this.lease = new StateLease(settings, stateStore, times, this::dropAll);
     this.delegations = new LeaseDelegations(settings, stateStore, times);
+    this.authority = new Authority(this, stateLink);
+    this.advisor = advisor;
     this.lapsedSince = new long[nodes.size()];
     this.sinceMicros = new long[nodes.size()];
     this.keepUntilMicros = new long[nodes.size()];
@@ -125,23 +146,38 @@
     return lease.entitled();
   }
 
-  /**
-   * Whether starts that are committed may still be sent: a cancellation that the copy does not show
-   * can only be as old as the copy. Nothing is committed while the state service does not answer,
-   * so that little waits for this.
-   */
-  public boolean startsFor(int shard) {
-    return actsFor(shard) && nowMicros - stateStore.freshMicros() < times.stateLeaseMicros() / 3;
+  /** Whether an order of some kind may be given for a shard now. */
+  public boolean permits(OrderKind kind, int shard) {
+    return authority.permits(kind, shard);
+  }
+
+  /** What may be done for shards, and why not. */
+  public Authority authority() {
+    return authority;
   }
 
-  /** Whether a shard is ours and this controller may act for it. */
-  public boolean actsFor(int shard) {
+  @Override
+  public boolean leaseHolds(int shard) {
     return owned.contains(shard) && !yielding.contains(shard) && entitled();
   }
 
-  /** Whether commits for a shard may go: acting, and no former commit's fate is unclear. */
-  public boolean commitsFor(int shard) {
-    return actsFor(shard) && !unclear.contains(shard) && stateStore.loaded();
+  @Override
+  public boolean inDoubt(int shard) {
+    return unclear.contains(shard);
+  }
+
+  @Override
+  public boolean copyLoaded() {
+    return stateStore.loaded();
+  }
+
+  /**
+   * A cancellation that the copy does not show can only be as old as the copy. Nothing is committed
+   * while the state service does not answer, so that little waits for this.
+   */
+  @Override
+  public boolean copyFresh() {
+    return nowMicros - stateStore.freshMicros() < times.stateLeaseMicros() / FRESH_PART;
   }
 
   /** This life of this controller: the number of its state lease. */
@@ -170,11 +206,23 @@
 
   /** The owner of a shard, if its lease is seen to hold. */
   public String liveOwner(int shard) {
-    StateStore.Entry entry = stateStore.get(shardKey(shard));
-    String owner = entry == null ? null : Json.text(entry.data(), FIELD_OWNER);
+    String owner = owner(shard);
     return owner != null && StateLease.isAlive(stateStore, owner) ? owner : null;
   }
 
+  /** The owner of a shard by its key, alive or not; null if there is none. */
+  public String owner(int shard) {
+    StateStore.Entry entry = stateStore.get(shardKey(shard));
+    return entry == null ? null : Json.text(entry.data(), FIELD_OWNER);
+  }
+
+  /** Stops acting for a shard until its key has changed, so that another may take it. */
+  public void relinquish(int shard) {
+    if (owned.contains(shard)) {
+      yielding.add(shard);
+    }
+  }
+
   public int liveNodes() {
     return Math.max(1, StateLease.aliveCount(stateStore));
   }
@@ -277,7 +325,8 @@
     }
     if (StateLease.isAlive(stateStore, owner)) {
       lapsedSince[shard] = 0;
-      return false;
+      // Its owner, without the state service, has ceased to act for it in our favour.
+      return advisor.yieldedToUs(shard, owner, term(shard)) && takeOver(shard, entry, Map.of());
     }
     return (shard == home || waited(shard))
         && takeOver(shard, entry, Map.of(StateLease.key(owner), 0L));
@@ -298,7 +347,10 @@
       return takeOver(shard, entry, Map.of());
     }
     String heir = rescuer(shard);
-    if (heir == null && shard != home && nowMicros >= keepUntilMicros[shard]) {
+    if (heir == null) {
+      heir = advisor.heir(shard);
+    }
+    if (heir == null && mayGoHome(shard)) {
       heir = nodes.get(shard);
     }
     StateStore.Entry heirAlive = heir == null ? null : stateStore.get(StateLease.key(heir));
@@ -318,13 +370,20 @@
     return true;
   }
 
+  private boolean mayGoHome(int shard) {
+    return shard != home
+        && nowMicros >= keepUntilMicros[shard]
+        && advisor.mayReturnHome(shard, nodes.get(shard));
+  }
+
   /** Nodes that come later in the ring wait a little longer, so that mostly one tries. */
   private boolean waited(int shard) {
     if (lapsedSince[shard] == 0) {
       lapsedSince[shard] = nowMicros;
     }
     int place = Math.floorMod(home - shard - 1, nodes.size());
-    return nowMicros - lapsedSince[shard] >= 100_000 + 500_000L * (place + owned.size());
+    long wait = TAKE_MICROS + TAKE_STEP_MICROS * (place + owned.size());
+    return nowMicros - lapsedSince[shard] >= wait + advisor.takeDelayMicros(shard);
   }
 
   private boolean take(
--- a/src/main/java/gladeknot/peer/PeerMessage.java
+++ b/src/main/java/gladeknot/peer/PeerMessage.java
@@ -8,24 +8,33 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
- * What a controller tells the others: which budgets hold up tasks that a shard has room for, and
- * which jobs it has just withdrawn. A hint that gets lost or comes twice changes nothing but how
- * soon budgets move and tasks are stopped.
+ * What a controller tells the others: which budgets hold up tasks that a shard has room for, which
+ * jobs it has just withdrawn, and what it reaches. A hint that gets lost or comes twice changes
+ * nothing but how soon budgets move and tasks are stopped.
  *
  * <p>A record begins with its format. Whoever reads takes what it knows of a format and leaves what
  * a later version added at the end.
  */
 public record PeerMessage(
-    String from, int shard, long term, List<Short> shorts, List<String> withdrawn) {
+    String from,
+    int shard,
+    long term,
+    List<Short> shorts,
+    List<String> withdrawn,
+    Optional<PeerReach> reach) {
   /** What a team lacks in a shard, in thousandths. */
   public record Short(String team, long cpus, long gpus) {}
 
   /** In place of a shard where a hint is about none. */
   public static final int NO_SHARD = Integer.MAX_VALUE;
 
-  private static final int FORMAT = 2;
+  /** The format that a record without news of links has, and the one that carries them. */
+  private static final int PLAIN_FORMAT = 2;
+
+  private static final int REACH_FORMAT = 3;
 
   /** How many teams one message tells of; the others wait for a later one. */
   private static final int MOST_SHORTS = 1000;
@@ -36,19 +45,24 @@
   /** A hint about a shard's budgets. */
   public static PeerMessage ofShorts(String from, int shard, long term, List<Short> shorts) {
     List<Short> told = shorts.subList(0, Math.min(shorts.size(), MOST_SHORTS));
-    return new PeerMessage(from, shard, term, List.copyOf(told), List.of());
+    return new PeerMessage(from, shard, term, List.copyOf(told), List.of(), Optional.empty());
   }
 
   /** A hint about jobs whose cancellation is committed. */
   public static PeerMessage ofWithdrawn(String from, List<String> ids) {
-    return new PeerMessage(from, NO_SHARD, 0, List.of(), ids);
+    return new PeerMessage(from, NO_SHARD, 0, List.of(), ids, Optional.empty());
+  }
+
+  /** What a controller reaches. */
+  public static PeerMessage ofReach(String from, PeerReach reach) {
+    return new PeerMessage(from, NO_SHARD, 0, List.of(), List.of(), Optional.of(reach));
   }
 
   /** The record as it goes over the wire. */
   public byte[] encode() {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     try (DataOutputStream out = new DataOutputStream(bytes)) {
-      out.writeByte(FORMAT);
+      out.writeByte(reach.isPresent() ? REACH_FORMAT : PLAIN_FORMAT);
       out.writeUTF(from);
       out.writeInt(shard);
       out.writeLong(term);
@@ -62,6 +76,10 @@
       for (String id : withdrawn) {
         out.writeUTF(id);
       }
+      if (reach.isPresent()) {
+        out.writeBoolean(true);
+        reach.get().write(out);
+      }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -87,7 +105,7 @@
       shorts.add(new Short(in.readUTF(), in.readLong(), in.readLong()));
     }
     List<String> withdrawn = new ArrayList<>();
-    if (format >= 2) {
+    if (format >= PLAIN_FORMAT) {
       int ids = in.readInt();
       if (ids < 0 || ids > MOST_WITHDRAWN) {
         throw new IOException("out of range");
@@ -96,9 +114,13 @@
         withdrawn.add(in.readUTF());
       }
     }
-    if (format <= FORMAT && in.available() > 0) {
+    Optional<PeerReach> reach =
+        format >= REACH_FORMAT && in.readBoolean()
+            ? Optional.of(PeerReach.read(in))
+            : Optional.empty();
+    if (format <= REACH_FORMAT && in.available() > 0) {
       throw new IOException("longer than it says");
     }
-    return new PeerMessage(from, shard, term, shorts, withdrawn);
+    return new PeerMessage(from, shard, term, shorts, withdrawn, reach);
   }
 }
--- a/src/main/java/gladeknot/placement/Placer.java
+++ b/src/main/java/gladeknot/placement/Placer.java
@@ -1,5 +1,6 @@
 package gladeknot.placement;
 
+import gladeknot.connectivity.OrderKind;
 import gladeknot.fleet.MachineType;
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobRegistry;
@@ -157,7 +158,7 @@
     starveMicros = policy.micros(Policy.Name.STARVE_AFTER);
     List<WaitingSlice> all = new ArrayList<>();
     for (int shard = 0; shard < membership.shards(); shard++) {
-      boolean ours = membership.commitsFor(shard);
+      boolean ours = membership.permits(OrderKind.DECIDE, shard);
       for (Slice s : slices.of(shard)) {
         Job job = jobs.active(s.job());
         if (job != null && s.todoCount() > 0 && nowMicros >= s.restUntilMicros) {
@@ -283,7 +284,7 @@
     nextMicros = nowMicros + (long) (PASS_MICROS * Math.max(1, Math.min(MOST_SLOWED, slower)));
     againMicros = nowMicros + AGAIN_MICROS;
     for (int shard = 0; shard < membership.shards(); shard++) {
-      if (membership.commitsFor(shard)) {
+      if (membership.permits(OrderKind.DECIDE, shard)) {
         pass(shard);
       }
     }
--- a/src/main/java/gladeknot/placement/RecordWriter.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -1,5 +1,6 @@
 package gladeknot.placement;
 
+import gladeknot.connectivity.OrderKind;
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobRegistry;
 import gladeknot.membership.ClusterFormat;
@@ -181,7 +182,7 @@
       return false;
     }
     for (int shard : membership.owned()) {
-      if (!membership.commitsFor(shard)) {
+      if (!membership.permits(OrderKind.RECORD, shard)) {
         continue;
       }
       dropMisplacedClaims(shard);
@@ -286,7 +287,7 @@
     gatherOthers(batch, Math.max(1, room / 2));
     Set<String> chosen = new HashSet<>();
     for (Slice s : dirty) {
-      boolean ready = s.claims.isEmpty() && !s.misplaced() && membership.commitsFor(s.shard());
+      boolean ready = s.claims.isEmpty() && !s.misplaced() && mayWrite(s);
       if (ready && due(s) && batch.operations() + chosen.size() < room) {
         chosen.add(s.key());
       }
@@ -322,7 +323,7 @@
     int room = room(KEEP);
     boolean wanting = false;
     for (Slice s : List.copyOf(dirty)) {
-      if (s.claims.isEmpty() || s.misplaced() || !membership.commitsFor(s.shard())) {
+      if (s.claims.isEmpty() || s.misplaced() || !mayWrite(s)) {
         continue;
       }
       Set<String> keys = new HashSet<>(batch.packed.keySet());
@@ -394,9 +395,14 @@
     }
   }
 
+  /** Whether what a slice has to write may be written now. */
+  private boolean mayWrite(Slice s) {
+    return membership.permits(s.starts() ? OrderKind.DECIDE : OrderKind.RECORD, s.shard());
+  }
+
   /** Whether a shard's changes may be written now; what can't ever be any more is dropped. */
   private boolean mayGo(int shard, Runnable dropped) {
-    if (membership.commitsFor(shard)) {
+    if (membership.permits(OrderKind.RECORD, shard)) {
       return true;
     }
     if (!membership.owned().contains(shard)) {
--- a/src/main/java/gladeknot/placement/Scheduler.java
+++ b/src/main/java/gladeknot/placement/Scheduler.java
@@ -1,5 +1,6 @@
 package gladeknot.placement;
 
+import gladeknot.connectivity.OrderKind;
 import gladeknot.http.Outbox;
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobRegistry;
@@ -102,7 +103,7 @@
     }
     nextCheckMicros = now + CHECK_MICROS;
     for (int shard : membership.owned()) {
-      if (membership.commitsFor(shard)) {
+      if (membership.permits(OrderKind.RECORD, shard)) {
         lapses(shard);
         recalledMachines.drain(shard, now, this::kill);
       }
@@ -274,7 +275,7 @@
         // Its reports come, and our answers don't get there: it must not wait here for ever.
         worker.doesNotHear(nowMicros);
         gone(a, "never taken up");
-      } else if (membership.startsFor(shard)) {
+      } else if (membership.permits(OrderKind.START, shard)) {
         a.sent = true;
         a.sentTenure = report.tenure();
         a.sentTick = report.tick();
@@ -445,7 +446,7 @@
   }
 
   private boolean mayFinish(Job job) {
-    return membership.commitsFor(job.home()) && !finishing.contains(job.id());
+    return membership.permits(OrderKind.RECORD, job.home()) && !finishing.contains(job.id());
   }
 
   /** Commits a job's final record. */
--- a/src/main/java/gladeknot/placement/TaskKiller.java
+++ b/src/main/java/gladeknot/placement/TaskKiller.java
@@ -1,5 +1,6 @@
 package gladeknot.placement;
 
+import gladeknot.connectivity.OrderKind;
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
 import gladeknot.membership.Membership;
@@ -104,7 +105,8 @@
     long term = -1;
     for (Attempt a : e.attempts) {
       int shard = a.slice().shard();
-      if (!a.overdue && !membership.actsFor(shard)) {
+      OrderKind kind = a.overdue ? OrderKind.KILL_OVERDUE : OrderKind.KILL;
+      if (!membership.permits(kind, shard)) {
         // Only the end of a job that is over is sure to be wanted, whoever acts for the shard.
         continue;
       }
--- a/src/main/java/gladeknot/teams/Budgets.java
+++ b/src/main/java/gladeknot/teams/Budgets.java
@@ -1,5 +1,6 @@
 package gladeknot.teams;
 
+import gladeknot.connectivity.OrderKind;
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
 import gladeknot.membership.Membership;
@@ -186,7 +187,7 @@
 
   private void create(Settings.Team team) {
     int mine = membership.home();
-    if (!membership.commitsFor(mine)) {
+    if (!membership.permits(OrderKind.CHANGE_BUDGET, mine)) {
       return;
     }
     int n = membership.shards();
@@ -258,7 +259,7 @@
   }
 
   private void give(Settings.Team team, int shard) {
-    if (!membership.commitsFor(shard)) {
+    if (!membership.permits(OrderKind.CHANGE_BUDGET, shard)) {
       return;
     }
     String name = team.name();
--- a/src/main/java/gladeknot/workers/WorkerRequestHandler.java
+++ b/src/main/java/gladeknot/workers/WorkerRequestHandler.java
@@ -1,5 +1,7 @@
 package gladeknot.workers;
 
+import gladeknot.connectivity.OrderKind;
+import gladeknot.connectivity.WorkerTraffic;
 import gladeknot.http.Json;
 import gladeknot.http.Outbox;
 import gladeknot.membership.Membership;
@@ -82,6 +84,7 @@
   private final Membership membership;
   private final WorkerRegistry workers;
   private final Outbox outbox;
+  private final WorkerTraffic traffic;
   private final Sync sync;
   private final Map<String, Long> sentAway = new HashMap<>();
   private long nextSweepMicros;
@@ -98,6 +101,7 @@
       Membership membership,
       WorkerRegistry workers,
       Outbox outbox,
+      WorkerTraffic traffic,
       Sync sync) {
     long share = (long) (settings.workers().reportMicros() * HOLD_SHARE);
     this.holdMicros = Math.max(LEAST_HOLD_MICROS, Math.min(MOST_HOLD_MICROS, share));
@@ -107,6 +111,7 @@
     this.membership = membership;
     this.workers = workers;
     this.outbox = outbox;
+    this.traffic = traffic;
     this.sync = sync;
   }
 
@@ -147,7 +152,8 @@
       return;
     }
     int shard = worker.shard();
-    if (!membership.actsFor(shard)) {
+    if (!membership.permits(OrderKind.RENEW_LEASE, shard)) {
+      traffic.reported(arrival(report, shard, false));
       elsewhere(request, body, report, shard);
       return;
     }
@@ -169,6 +175,7 @@
       return;
     }
     worker.report(report, nowMicros);
+    traffic.reported(arrival(report, shard, true));
     List<Map<String, Object>> orders = sync.orders(worker, report);
     long quietUntil = orders.isEmpty() && sync.quiet(worker) ? nowMicros + quietMicros : 0;
     long until = Math.max(nowMicros, quietUntil) + holdMicros;
@@ -182,6 +189,11 @@
     answer(request, worker, orders);
   }
 
+  private static WorkerTraffic.Arrival arrival(Report report, int shard, boolean ours) {
+    return new WorkerTraffic.Arrival(
+        report.host(), report.zone(), shard, ours, report.tenure(), report.tick());
+  }
+
   /**
    * Asks a machine for its state. An answer that is older than a report already taken can only come
    * from a machine that has lost all it had since.
@@ -203,7 +215,7 @@
             if (now.host().equals(worker.host()) && last.after(now.tenure(), now.tick())) {
               LOG.info("worker {} has begun anew", worker.host());
               worker.restarted();
-              if (membership.actsFor(worker.shard())) {
+              if (membership.permits(OrderKind.KILL, worker.shard())) {
                 sync.restarted(worker, now);
               }
             }
@@ -253,7 +265,7 @@
   private void answerAsDelegate(long request, byte[] body, Report report, int shard, long term) {
     stateStore.barrier(
         () -> {
-          if (membership.actsFor(shard)) {
+          if (membership.permits(OrderKind.RENEW_LEASE, shard)) {
             hello(request, body);
           } else if (membership.term(shard) == term && membership.delegateFor(shard)) {
             outbox.answer(request, 200, Json.of("fence", term, "orders", sync.overdue(report)));
@@ -267,6 +279,7 @@
   private void answer(long request, Worker worker, List<Map<String, Object>> orders) {
     long term = membership.term(worker.shard());
     worker.answered(nowMicros, term);
+    traffic.answered(worker.host());
     outbox.answer(request, 200, Json.of("fence", term, "orders", orders));
   }
 
@@ -286,7 +299,8 @@
         continue;
       }
       held.remove(h);
-      if (h.worker().report() == h.report() && membership.actsFor(h.worker().shard())) {
+      if (h.worker().report() == h.report()
+          && membership.permits(OrderKind.RENEW_LEASE, h.worker().shard())) {
         answer(h.request(), h.worker(), sync.orders(h.worker(), h.report()));
       } else {
         outbox.comeBack(h.request(), 503, "its controller is changing", 1);
--- /dev/null
+++ b/src/test/java/gladeknot/connectivity/PartialCutsTest.java
@@ -0,0 +1,268 @@
+package gladeknot.connectivity;
+
+import static gladeknot.standin.SimulatedCluster.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gladeknot.settings.Features;
+import gladeknot.standin.DirectionalCuts.Way;
+import gladeknot.standin.FeatureSettings;
+import gladeknot.standin.SimulatedCluster;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * Links that fail in part, in three controllers with all around them: no rule breaks while users go
+ * on asking, and once all is well nothing is forgotten or left waiting, and every job ends.
+ */
+class PartialCutsTest {
+  private static final long LEASE = SimulatedCluster.LEASE;
+  private static final long CANCEL = SimulatedCluster.CANCEL;
+
+  private record Case(String name, long seed, Consumer<SimulatedCluster> faults) {}
+
+  private static final List<Case> CASES = cases();
+
+  private static List<Case> cases() {
+    List<Case> cases = new ArrayList<>();
+    for (Way way : Way.values()) {
+      cases.add(new Case("one way: " + way, 100 + way.ordinal(), w -> oneWay(w, way)));
+    }
+    cases.add(new Case("state lost: dropped", 110, w -> cutFor(w, Way.STATE_REQUESTS, 40)));
+    cases.add(new Case("state lost: refused", 111, PartialCutsTest::connectionsRefused));
+    cases.add(new Case("state lost: 503 to one alone", 112, PartialCutsTest::refusedAlone));
+    cases.add(new Case("state slow to beyond a lease", 113, PartialCutsTest::slowState));
+    cases.add(new Case("workers lost, state reached", 114, PartialCutsTest::workersLost));
+    cases.add(new Case("peers lost alone", 115, PartialCutsTest::peersLost));
+    cases.add(new Case("one peer does not hear another", 116, PartialCutsTest::peersOneWay));
+    for (long periodMillis : new long[] {300, 1000, 4000, 8000, 10000}) {
+      cases.add(
+          new Case(
+              "state flaps every " + periodMillis + " ms",
+              120 + periodMillis,
+              w -> flap(w, Way.STATE_ANSWERS, periodMillis * 1000)));
+    }
+    cases.add(new Case("reports flap every 2 s", 130, w -> flap(w, Way.REPORTS, 2 * SECOND)));
+    cases.add(new Case("two cut from different things", 131, PartialCutsTest::twoCut));
+    cases.add(new Case("the taker is cut while it takes", 132, PartialCutsTest::takerCut));
+    cases.add(new Case("the owner is back in mid-take-over", 133, PartialCutsTest::ownerBack));
+    cases.add(new Case("a restart in the same second", 134, PartialCutsTest::restarted));
+    cases.add(new Case("a lost answer, a cut, a cancellation", 135, PartialCutsTest::cancelled));
+    cases.add(new Case("cut from half of the workers", 136, PartialCutsTest::halfCut));
+    cases.add(new Case("cut from one zone", 137, PartialCutsTest::zoneCut));
+    cases.add(new Case("late copies of reports through the cut", 138, PartialCutsTest::copies));
+    cases.add(new Case("much work beside a long cut", 139, PartialCutsTest::longCut));
+    cases.add(new Case("the state service is out for all", 140, PartialCutsTest::outage));
+    return cases;
+  }
+
+  private static void oneWay(SimulatedCluster w, Way way) {
+    w.cuts.set(0, way, true);
+    w.run(SECOND);
+    w.abort(1, "req-cut");
+    w.run(40 * SECOND);
+    w.cuts.set(0, way, false);
+  }
+
+  private static void cutFor(SimulatedCluster w, Way way, int seconds) {
+    w.cuts.set(0, way, true);
+    w.run(seconds * SECOND);
+    w.cuts.set(0, way, false);
+  }
+
+  private static void connectionsRefused(SimulatedCluster w) {
+    w.cuts.setRefused(0, true);
+    w.run(SECOND);
+    w.abort(1, "req-cut");
+    w.run(40 * SECOND);
+    w.cuts.setRefused(0, false);
+  }
+
+  private static void refusedAlone(SimulatedCluster w) {
+    w.refuse(0, true);
+    w.run(SECOND);
+    w.abort(1, "req-cut");
+    w.run(40 * SECOND);
+    w.refuse(0, false);
+  }
+
+  private static void slowState(SimulatedCluster w) {
+    w.stateDelay = LEASE + SECOND;
+    w.run(30 * SECOND);
+    w.stateDelay = 0;
+  }
+
+  private static void workersLost(SimulatedCluster w) {
+    w.cutFromWorkers(0, true);
+    w.run(2 * SECOND);
+    w.abort(1, "req-cut");
+    w.run(60 * SECOND);
+    w.cutFromWorkers(0, false);
+  }
+
+  private static void peersLost(SimulatedCluster w) {
+    w.cutFromPeers(0, true);
+    w.run(40 * SECOND);
+    w.cutFromPeers(0, false);
+  }
+
+  private static void peersOneWay(SimulatedCluster w) {
+    w.cuts.setPeer(1, 0, true);
+    w.run(10 * SECOND);
+    w.cuts.set(0, Way.STATE_REQUESTS, true);
+    w.run(30 * SECOND);
+    w.cuts.clear();
+  }
+
+  private static void flap(SimulatedCluster w, Way way, long periodMicros) {
+    for (long t = 0; t < 120 * SECOND; t += periodMicros) {
+      w.cuts.set(0, way, true);
+      w.run(periodMicros / 2);
+      w.cuts.set(0, way, false);
+      w.run(periodMicros - periodMicros / 2);
+    }
+  }
+
+  private static void twoCut(SimulatedCluster w) {
+    w.cuts.set(0, Way.STATE_ANSWERS, true);
+    w.cutFromWorkers(1, true);
+    w.run(SECOND);
+    w.abort(2, "req-cut");
+    w.run(40 * SECOND);
+    w.cuts.clear();
+    w.cutFromWorkers(1, false);
+  }
+
+  private static void takerCut(SimulatedCluster w) {
+    w.cuts.set(0, Way.STATE_REQUESTS, true);
+    for (int i = 0; i < 80 && "node-0".equals(w.owner(0)); i++) {
+      w.run(SECOND / 10);
+    }
+    w.cuts.set(1, Way.STATE_ANSWERS, true);
+    w.cuts.set(2, Way.STATE_ANSWERS, true);
+    w.run(15 * SECOND);
+    w.cuts.set(1, Way.STATE_ANSWERS, false);
+    w.run(20 * SECOND);
+    w.cuts.clear();
+  }
+
+  private static void ownerBack(SimulatedCluster w) {
+    for (int i = 0; i < 12; i++) {
+      w.cuts.set(0, Way.STATE_ANSWERS, true);
+      w.run(5 * SECOND + i * 200_000L);
+      w.cuts.set(0, Way.STATE_ANSWERS, false);
+      w.run(3 * SECOND);
+    }
+  }
+
+  private static void restarted(SimulatedCluster w) {
+    for (int i = 0; i < 6; i++) {
+      w.cuts.set(0, Way.STATE_REQUESTS, true);
+      w.run(4 * SECOND + i * 300_000L);
+      w.kill(0);
+      w.run(300_000);
+      w.cuts.clear();
+      w.start(0);
+      w.run(8 * SECOND);
+    }
+  }
+
+  private static void cancelled(SimulatedCluster w) {
+    w.submit(0, SimulatedCluster.job("req-new", "array", 8));
+    w.loseAnswers = 2;
+    w.run(SECOND);
+    w.cuts.set(0, Way.STATE_ANSWERS, true);
+    w.run(200_000);
+    w.abort(1, "req-cut");
+    w.run(CANCEL + 10 * SECOND);
+    w.cuts.clear();
+  }
+
+  private static void halfCut(SimulatedCluster w) {
+    for (int i = 0; i < w.machineCount() / 2; i++) {
+      w.deafen(2 * i, true);
+    }
+    w.run(40 * SECOND);
+    for (int i = 0; i < w.machineCount() / 2; i++) {
+      w.deafen(2 * i, false);
+    }
+  }
+
+  private static void zoneCut(SimulatedCluster w) {
+    w.partition("a", Set.of(1, 2));
+    w.run(2 * SECOND);
+    w.abort(1, "req-cut");
+    w.run(60 * SECOND);
+    w.heal();
+  }
+
+  private static void copies(SimulatedCluster w) {
+    w.copies = true;
+    w.cuts.set(0, Way.STATE_ANSWERS, true);
+    w.captureReports();
+    w.run(20 * SECOND);
+    w.deliverReports(0);
+    w.deliverReports(1);
+    w.run(10 * SECOND);
+    w.cuts.clear();
+    w.run(10 * SECOND);
+    w.deliverReports(0);
+    w.copies = false;
+  }
+
+  private static void longCut(SimulatedCluster w) {
+    w.cuts.set(0, Way.STATE_REQUESTS, true);
+    for (int i = 0; i < 10; i++) {
+      w.submit(1 + i % 2, SimulatedCluster.job("req-more" + i, "array", 12));
+      w.run(8 * SECOND);
+    }
+    w.cuts.clear();
+  }
+
+  private static void outage(SimulatedCluster w) {
+    w.outage(true);
+    w.run(SECOND);
+    w.run(2 * CANCEL);
+    w.outage(false);
+  }
+
+  private static final Features ON = FeatureSettings.partialCuts();
+
+  @TestFactory
+  Stream<DynamicTest> noRuleBreaksAndNothingIsForgotten() {
+    return CASES.stream().map(c -> DynamicTest.dynamicTest(c.name(), () -> play(c, ON)));
+  }
+
+  private static void play(Case c, Features features) {
+    SimulatedCluster w = new SimulatedCluster(3, c.seed(), SimulatedCluster.SMALL, features);
+    w.watch();
+    w.run(3 * SECOND);
+    w.submit(0, SimulatedCluster.job("req-array", "array", 40));
+    w.submit(1, SimulatedCluster.job("req-gang", "ensemble", 3));
+    w.submit(2, SimulatedCluster.job("req-web", "service", 4));
+    w.submit(0, SimulatedCluster.job("req-cut", "service", 5));
+    w.run(15 * SECOND);
+    c.faults().accept(w);
+    w.calm();
+    for (int i = 0; i < 26 && (i < 10 || !ended(w)); i++) {
+      w.run(10 * SECOND);
+    }
+    assertEquals(List.of(), w.broken());
+    for (String id : w.jobs()) {
+      String phase = w.phase(id);
+      if (!id.equals("req-cut")) {
+        assertEquals(id.equals("req-web") ? "running" : "done", phase, id);
+      }
+    }
+  }
+
+  private static boolean ended(SimulatedCluster w) {
+    return w.jobs().stream()
+        .allMatch(
+            id -> Set.of("done", "withdrawn").contains(w.phase(id)) || id.startsWith("req-web"));
+  }
+}
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -5,7 +5,9 @@
 import gladeknot.http.Outbox;
 import gladeknot.peer.PeerMessage;
 import gladeknot.policy.Policy;
+import gladeknot.settings.Features;
 import gladeknot.settings.Settings;
+import gladeknot.standin.DirectionalCuts.Way;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -113,6 +115,11 @@
   private long now = 100 * SECOND;
   private long order;
   private boolean outage;
+
+  /** Single directions that are cut. */
+  public final DirectionalCuts cuts = new DirectionalCuts();
+
+  private final Features features;
   private final List<CloudStandIn.Machine> booting = new ArrayList<>();
   private long seenCloudChanges = -1;
   private final Set<String> enteredBefore = new HashSet<>();
@@ -160,6 +167,12 @@
 
   /** A cluster of so many controllers, all just started. */
   public SimulatedCluster(int count, long seed, Scale scale) {
+    this(count, seed, scale, Features.NONE);
+  }
+
+  /** The same with features turned on. */
+  public SimulatedCluster(int count, long seed, Scale scale, Features features) {
+    this.features = features;
     random = new SplittableRandom(seed);
     this.scale = scale;
     state.mostValueBytes = scale.valueBytes();
@@ -206,7 +219,7 @@
   /** Starts a controller that knows nothing of its former life. */
   public void start(int i) {
     Node n = nodes.get(i);
-    n.core = new Core(settings(i, count, scale), Policy.of(""), random.split());
+    n.core = new Core(settings(i, count, scale), features, Policy.of(""), random.split());
     n.up = true;
     n.paused = false;
     n.life++;
@@ -471,8 +484,9 @@
       send(i, call);
     }
     for (PeerMessage message : n.core.outbox().takeMessages()) {
-      for (Node other : nodes) {
-        if (other != n && !n.cutFromPeers && !other.cutFromPeers) {
+      for (int j = 0; j < nodes.size(); j++) {
+        Node other = nodes.get(j);
+        if (other != n && !n.cutFromPeers && !other.cutFromPeers && !cuts.peerLost(i, j)) {
           later(
               2_000,
               () -> {
@@ -495,7 +509,11 @@
     Node n = nodes.get(i);
     long life = n.life;
     boolean toState = call.address().startsWith("state");
-    if (toState && n.cutFromState) {
+    if (toState && cuts.refused(i)) {
+      later(2_000, () -> reply(i, life, call, null));
+      return;
+    }
+    if (toState && (n.cutFromState || cuts.lost(i, Way.STATE_REQUESTS))) {
       later(call.timeoutMicros(), () -> reply(i, life, call, null));
       return;
     }
@@ -531,15 +549,28 @@
     later(
         delay,
         () -> {
-          StateStandIn.Answer answer = serve(i, call);
+          StateStandIn.Answer served = serve(i, call);
+          StateStandIn.Answer answer = answerLost(i, call) ? null : served;
           later(answer == null ? call.timeoutMicros() : 2_000, () -> reply(i, life, call, answer));
         });
   }
 
+  private boolean answerLost(int i, Outbox.Call call) {
+    if (call.address().startsWith("cloud")) {
+      return false;
+    }
+    boolean toState = call.address().startsWith("state");
+    return cuts.lost(i, toState ? Way.STATE_ANSWERS : Way.COMMAND_ANSWERS);
+  }
+
   private void follow(int i, long life, Outbox.Call call, long until) {
     long from = Long.parseLong(StateStandIn.query(call.path()).get("from"));
     boolean reachable =
-        !outage && !nodes.get(i).cutFromState && !nodes.get(i).refused && !nodes.get(i).watchHangs;
+        !outage
+            && !nodes.get(i).cutFromState
+            && !nodes.get(i).refused
+            && !nodes.get(i).watchHangs
+            && !cuts.lost(i, Way.STATE_ANSWERS);
     if (reachable && (state.changedSince(from) || now >= until)) {
       StateStandIn.Answer answer = serve(i, call);
       later(3_000 + stateDelay, () -> reply(i, life, call, answer));
@@ -583,7 +614,7 @@
         return cloud.serve(call.method(), call.path(), call.body());
       }
       Machine m = machines.get(call.address().split(":")[0]);
-      if (m == null || m.dead || m.deaf || !linked(i, m)) {
+      if (m == null || m.dead || m.deaf || !linked(i, m) || cuts.lost(i, Way.COMMANDS)) {
         return null;
       }
       if (m.hung) {
@@ -695,12 +726,13 @@
           }
         });
     if (copies && random.nextInt(4) == 0) {
-      int to = random.nextInt(nodes.size());
+      int copyTo = random.nextInt(nodes.size());
       later(
           SECOND + random.nextLong(3 * LEASE),
-          () -> ask(to, "POST", "/hello", report, answer -> {}));
+          () -> ask(copyTo, "POST", "/hello", report, answer -> {}));
     }
-    if (!n.up || m.mute || !linked(m.node, m)) {
+    int to = m.node;
+    if (!n.up || m.mute || !linked(to, m) || cuts.lost(to, Way.REPORTS)) {
       if (!n.up || m.mute) {
         over[0] = true;
         m.waiting = false;
@@ -721,7 +753,8 @@
                       commandDelay,
                       () -> {
                         // What comes after the worker has given the request up is dropped.
-                        if (!over[0] && !m.deaf && !m.hung && m.worker == life) {
+                        boolean lost = cuts.lost(to, Way.REPORT_ANSWERS);
+                        if (!over[0] && !m.deaf && !m.hung && m.worker == life && !lost) {
                           over[0] = true;
                           m.waiting = false;
                           answered(m, answer, sent, tenure);
@@ -880,6 +913,22 @@
     throw new IllegalStateException("all of " + job + " is there");
   }
 
+  /** How often shards have changed hands, or got a new term, since the beginning. */
+  public long terms() {
+    Map<String, Object> counter = state.get("g/term");
+    return counter == null ? 0 : Json.num(counter, "n", 0);
+  }
+
+  /** Who owns a shard by its key. */
+  public String owner(int shard) {
+    return Json.text(state.get("g/shard/" + shard), "owner");
+  }
+
+  /** What a controller shows to operators. */
+  public Map<String, Object> status(int i) {
+    return nodes.get(i).core.status();
+  }
+
   /** How many tasks are on machines. */
   public int tasksOnMachines() {
     int count = 0;
