A shard that goes away and comes back: what was seen of its attempts before is forgotten

Cause: found by the measurement of partial cuts (answers to reports lost): an owner saw a session end, gave the shard away before that was committed, the new owner started the same attempts again, gave the shard back, and the first one committed the ends it had seen before: tasks ran twice. Change: ends seen under a former ownership are dropped with it, also when the copy skips the owner in between; a shard that was yielded comes back under a higher term than any that was yielded.

--- a/src/main/java/gladeknot/app/CopiedShards.java
+++ b/src/main/java/gladeknot/app/CopiedShards.java
@@ -38,6 +38,11 @@
     return membership.term(shard);
   }
 
+  @Override
+  public long mostTerm(int shard) {
+    return membership.mostTerm(shard);
+  }
+
   @Override
   public boolean ours(int shard) {
     return membership.owned().contains(shard);
--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -260,6 +260,7 @@
 
   private void shardGained(int shard) {
     recordWriter.gained(shard);
+    connectivity.ifPresent(c -> c.gained(shard));
     scheduler.touch();
   }
 
--- a/src/main/java/gladeknot/connectivity/ConnectivityMonitor.java
+++ b/src/main/java/gladeknot/connectivity/ConnectivityMonitor.java
@@ -36,6 +36,7 @@
   private final WorkerLinkObserver workers;
   private final PeerLinkObserver peers;
   private final AuthorityLog log = new AuthorityLog();
+  private final Map<Integer, Long> keepUntilMicros = new HashMap<>();
   private final Map<Integer, Long> unreachedSince = new HashMap<>();
   private ShardView shards;
   private Authority authority;
@@ -120,6 +121,17 @@
     }
   }
 
+  /** A shard has become ours; who got it from an owner that is alive keeps it for a while. */
+  public void gained(int shard) {
+    String from = offers.ownerBefore(shard);
+    boolean handedOver = from != null && peers.freshReach(from) != null;
+    if (handedOver) {
+      keepUntilMicros.put(shard, nowMicros + feature.handover().keepMicros());
+    } else {
+      keepUntilMicros.remove(shard);
+    }
+  }
+
   /** A shard has ceased to be ours. */
   public void lost(int shard) {
     workers.lost(shard);
@@ -236,7 +248,8 @@
     if (!feature.handover().enabled() || reach == null) {
       return true;
     }
-    return reach.stateSteady()
+    return nowMicros >= keepUntilMicros.getOrDefault(shard, nowMicros)
+        && reach.stateSteady()
         && !offers.suppressed(shard)
         && ReachScore.of(workersByZone(shard), reach, shard) >= ReachScore.UNKNOWN;
   }
--- a/src/main/java/gladeknot/connectivity/OrderKind.java
+++ b/src/main/java/gladeknot/connectivity/OrderKind.java
@@ -37,6 +37,8 @@
   RELEASE(LEASE, SETTLED, LOADED, STATE_LINK),
   /** Changing a team's budgets. */
   CHANGE_BUDGET(LEASE, SETTLED, LOADED, STATE_LINK),
+  /** Taking a shard, giving it away, or making its key's stamp new. */
+  MOVE_SHARD(STATE_LINK),
   /** Answers to users that are not final; final ones need nothing. */
   ANSWER_USER(STATE_LINK);
 
--- a/src/main/java/gladeknot/connectivity/ShardOffers.java
+++ b/src/main/java/gladeknot/connectivity/ShardOffers.java
@@ -8,16 +8,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * How a controller without the state service hands a shard to one that has it: it offers the shard
- * under its present term, the other accepts, it yields, and then alone the other takes it with a
- * write that is conditional on the shard's key. An owner goes on as its leases allow until it
- * yields, so that an offer which nobody takes costs nothing; once it has yielded it does nothing
- * more under that term, whatever it hears later.
+ * under every term that it may have, the other accepts, it yields, and then alone the other takes
+ * it with a write that is conditional on the shard's key. An owner goes on as its leases allow
+ * until it yields, so that an offer which nobody takes costs nothing; once it has yielded it does
+ * nothing more under any of these, whatever it hears later.
  */
 final class ShardOffers {
   private static final Logger LOG = LoggerFactory.getLogger(ShardOffers.class);
@@ -44,6 +45,8 @@
   private final Map<Integer, Received> received = new HashMap<>();
   private final Map<String, Long> declinedUntil = new HashMap<>();
   private final Map<Integer, FlapDamping> damping = new HashMap<>();
+  private final Map<Integer, String> seenOwner = new HashMap<>();
+  private final Map<Integer, String> ownerBefore = new HashMap<>();
   private final Map<Integer, Long> seenTerm = new HashMap<>();
   private long nowMicros;
 
@@ -79,6 +82,10 @@
   /** A new term ends what was said under the one before, and counts as a change of owner. */
   private void followTerm(int shard) {
     long term = shards.term(shard);
+    String owner = shards.owner(shard);
+    if (!Objects.equals(owner, seenOwner.get(shard))) {
+      ownerBefore.put(shard, seenOwner.put(shard, owner));
+    }
     Long before = seenTerm.put(shard, term);
     if (before != null && before != term) {
       damping(shard).changed(nowMicros);
@@ -87,6 +94,12 @@
     }
   }
 
+  /** Who owned a shard before its present owner; null if that is not known. */
+  String ownerBefore(int shard) {
+    followTerm(shard);
+    return ownerBefore.get(shard);
+  }
+
   private FlapDamping damping(int shard) {
     return damping.computeIfAbsent(shard, s -> links.newDamping());
   }
@@ -118,7 +131,8 @@
     }
     declinedUntil.values().removeIf(until -> until <= nowMicros);
     Optional<String> to = chooser.choose(shard, declined(shard));
-    to.ifPresent(node -> offers.put(shard, new Offer(shards.term(shard), node, nowMicros, false)));
+    to.ifPresent(
+        node -> offers.put(shard, new Offer(shards.mostTerm(shard), node, nowMicros, false)));
     return to.isPresent();
   }
 
@@ -155,7 +169,7 @@
     boolean known = shard < shards.shards();
     return known
         && from.equals(shards.owner(shard))
-        && shards.term(shard) == offer.term()
+        && shards.term(shard) <= offer.term()
         && (offer.yielded() || (links.steady(LinkId.STATE) && !suppressed(shard)));
   }
 
@@ -177,10 +191,10 @@
     return true;
   }
 
-  /** Whether the owner of a shard has yielded it to us under a term. */
+  /** Whether the owner of a shard has yielded it to us under a term, or under a later one. */
   boolean yieldedToUs(int shard, String owner, long term) {
     Received offer = received.get(shard);
-    return offer != null && offer.yielded() && offer.from().equals(owner) && offer.term() == term;
+    return offer != null && offer.yielded() && offer.from().equals(owner) && term <= offer.term();
   }
 
   /** What is offered, for the next record. */
--- a/src/main/java/gladeknot/connectivity/ShardView.java
+++ b/src/main/java/gladeknot/connectivity/ShardView.java
@@ -18,10 +18,19 @@
   /** The term by the shard's key. */
   long term(int shard);
 
+  /**
+   * The highest term that a shard of ours may have: a write by which we took it may have been
+   * carried out, and its answer lost.
+   */
+  long mostTerm(int shard);
+
   /** Whether a shard is ours in this life of the process. */
   boolean ours(int shard);
 
-  /** Stops everything that is done for a shard of ours until its key has changed. */
+  /**
+   * Stops everything that is done for a shard of ours, under every term up to {@link #mostTerm},
+   * until its key has changed.
+   */
   void yield(int shard);
 
   /** The workers of a shard. */
--- a/src/main/java/gladeknot/connectivity/WorkerLinkObserver.java
+++ b/src/main/java/gladeknot/connectivity/WorkerLinkObserver.java
@@ -39,28 +39,41 @@
     private long tick;
     private long reportMicros;
     private long answeredMicros = NONE;
-    private boolean deaf;
+
+    /** The report whose answer was surely taken, and since when answers were not. */
+    private long heardMicros = NONE;
+
+    private long deafSinceMicros = NONE;
+
+    private boolean deaf() {
+      return deafSinceMicros != NONE;
+    }
   }
 
-  /** How many workers of a zone are ours, and how many of them are silent or deaf. */
+  /**
+   * How many workers of a zone are ours, and how many of them are silent or deaf. What all the
+   * others have shown counts from the oldest of their reports: those that are silent by now must
+   * not look as if they had been heard since.
+   */
   private static final class Population {
     private int all;
     private int silent;
     private int deaf;
     private long firstSilentMicros = Long.MAX_VALUE;
     private long firstDeafMicros = Long.MAX_VALUE;
+    private long allReportedMicros = Long.MAX_VALUE;
+    private long allHeardMicros = Long.MAX_VALUE;
   }
 
   private final LinkTable links;
-  private final long silentAfterMicros;
+  private final long latestReportMicros;
   private final Map<String, Contact> contacts = new LinkedHashMap<>();
   private long nowMicros;
   private long nextSweepMicros;
 
   WorkerLinkObserver(Settings settings, LinkTable links) {
     this.links = links;
-    this.silentAfterMicros =
-        (long) (settings.workers().reportMicros() * LATEST_REPORT) + GRACE_MICROS;
+    this.latestReportMicros = (long) (settings.workers().reportMicros() * LATEST_REPORT);
   }
 
   @Override
@@ -69,7 +82,8 @@
     if (contact.ours && arrival.ours()) {
       judgeAnswer(contact, arrival);
     } else {
-      contact.deaf = false;
+      contact.deafSinceMicros = NONE;
+      contact.heardMicros = NONE;
       contact.answeredMicros = NONE;
     }
     contact.zone = arrival.zone();
@@ -88,9 +102,10 @@
     boolean prompt = nowMicros - contact.reportMicros < ANSWER_WAIT_MICROS;
     boolean elsewhere = arrival.tick() > contact.tick + 1 || arrival.tenure() > contact.tenure;
     if (prompt || !elsewhere) {
-      contact.deaf = false;
-    } else {
-      contact.deaf = true;
+      contact.deafSinceMicros = NONE;
+      contact.heardMicros = contact.reportMicros;
+    } else if (!contact.deaf()) {
+      contact.deafSinceMicros = contact.reportMicros;
     }
   }
 
@@ -141,13 +156,18 @@
 
   private void count(Population population, Contact contact, long age) {
     population.all++;
-    if (age > silentAfterMicros) {
+    if (age > latestReportMicros + GRACE_MICROS) {
       population.silent++;
       population.firstSilentMicros =
-          Math.min(population.firstSilentMicros, contact.reportMicros + silentAfterMicros);
-    } else if (contact.deaf) {
+          Math.min(population.firstSilentMicros, contact.reportMicros + latestReportMicros);
+      return;
+    }
+    population.allReportedMicros = Math.min(population.allReportedMicros, contact.reportMicros);
+    if (contact.deaf()) {
       population.deaf++;
-      population.firstDeafMicros = Math.min(population.firstDeafMicros, contact.reportMicros);
+      population.firstDeafMicros = Math.min(population.firstDeafMicros, contact.deafSinceMicros);
+    } else if (contact.heardMicros != NONE) {
+      population.allHeardMicros = Math.min(population.allHeardMicros, contact.heardMicros);
     }
   }
 
@@ -158,11 +178,11 @@
       inbound.overdue(population.firstSilentMicros);
       return;
     }
-    inbound.proven(nowMicros);
+    inbound.proven(population.allReportedMicros);
     if (2 * population.deaf >= population.all) {
       outbound.overdue(population.firstDeafMicros);
-    } else {
-      outbound.proven(nowMicros);
+    } else if (population.allHeardMicros != Long.MAX_VALUE) {
+      outbound.proven(population.allHeardMicros);
     }
   }
 
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -86,6 +86,15 @@
   private final long[] lapsedSince;
   private final long[] sinceMicros;
   private final long[] keepUntilMicros;
+
+  /** By shard: the term of our newest write of its key, and up to which we have relinquished it. */
+  private final long[] triedTerm;
+
+  private final long[] relinquishedTerm;
+
+  /** By shard of ours: the term under which it was looked at last. */
+  private final long[] ownedTerm;
+
   private boolean moving;
   private long nextMoveMicros;
 
@@ -111,6 +120,9 @@
     this.lapsedSince = new long[nodes.size()];
     this.sinceMicros = new long[nodes.size()];
     this.keepUntilMicros = new long[nodes.size()];
+    this.triedTerm = new long[nodes.size()];
+    this.relinquishedTerm = new long[nodes.size()];
+    this.ownedTerm = new long[nodes.size()];
   }
 
   public int shards() {
@@ -216,10 +228,19 @@
     return entry == null ? null : Json.text(entry.data(), FIELD_OWNER);
   }
 
-  /** Stops acting for a shard until its key has changed, so that another may take it. */
+  /** The highest term that a shard of ours may have, by what was written without an answer. */
+  public long mostTerm(int shard) {
+    return Math.max(term(shard), triedTerm[shard]);
+  }
+
+  /**
+   * Stops acting for a shard until its key has changed, so that another may take it: under every
+   * term that it may have now. If it comes back to us, it is under a higher one.
+   */
   public void relinquish(int shard) {
     if (owned.contains(shard)) {
       yielding.add(shard);
+      relinquishedTerm[shard] = mostTerm(shard);
     }
   }
 
@@ -339,9 +360,14 @@
 
   /** A shard that is ours by its key: settles what is in doubt, or gives it to who serves it. */
   private boolean keepOrGive(int shard, StateStore.Entry entry) {
+    if (owned.contains(shard) && term(shard) != ownedTerm[shard] && !ownWrite(shard)) {
+      // It was another's meanwhile, and the copy has skipped that: what we know of it is too old.
+      drop(shard);
+    }
     if (!owned.contains(shard)) {
       gain(shard);
     }
+    ownedTerm[shard] = term(shard);
     lapsedSince[shard] = 0;
     if (unclear.contains(shard) || yielding.contains(shard)) {
       return takeOver(shard, entry, Map.of());
@@ -370,6 +396,11 @@
     return true;
   }
 
+  /** Whether a shard's present term comes from our own newest write of its key. */
+  private boolean ownWrite(int shard) {
+    return term(shard) == triedTerm[shard];
+  }
+
   private boolean mayGoHome(int shard) {
     return shard != home
         && nowMicros >= keepUntilMicros[shard]
@@ -388,11 +419,13 @@
 
   private boolean take(
       int shard, StateStore.Entry entry, String to, long inc, Map<String, Long> alsoIf) {
-    if (!stateStore.takeWrites(2, 0)) {
+    if (!permits(OrderKind.MOVE_SHARD, shard) || !stateStore.takeWrites(2, 0)) {
       return false;
     }
     StateStore.Entry counter = stateStore.get(TERM);
-    long term = 1 + (counter == null ? 0 : Json.num(counter.data(), FIELD_COUNTER, 0));
+    long drawn = counter == null ? 0 : Json.num(counter.data(), FIELD_COUNTER, 0);
+    long term = 1 + Math.max(drawn, relinquishedTerm[shard]);
+    triedTerm[shard] = term;
     Map<String, Long> conditions = new LinkedHashMap<>(alsoIf);
     conditions.put(shardKey(shard), entry == null ? 0 : entry.stamp());
     conditions.put(TERM, counter == null ? 0 : counter.stamp());
--- a/src/main/java/gladeknot/peer/PeerReach.java
+++ b/src/main/java/gladeknot/peer/PeerReach.java
@@ -30,8 +30,8 @@
   public record ShardContact(int shard, int workers) {}
 
   /**
-   * A shard that its owner can't use, offered to one controller under its present term. Once {@code
-   * yielded}, the owner does nothing more under that term.
+   * A shard that its owner can't use, offered to one controller under every term up to the given
+   * one. Once {@code yielded}, the owner does nothing more under any of these.
    */
   public record ShardOffer(int shard, long term, String to, boolean yielded) {}
 
--- a/src/main/java/gladeknot/placement/RecordWriter.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -684,6 +684,7 @@
   /** A shard has ceased to be ours: its slices are what their records say. */
   public void lost(int shard) {
     dirty.removeIf(s -> s.shard() == shard);
+    slices.forgetAttempts(shard);
     for (Slice s : List.copyOf(slices.of(shard))) {
       slices.load(shard, s.job(), jobs.active(s.job()));
     }
--- a/src/main/java/gladeknot/placement/SliceRegistry.java
+++ b/src/main/java/gladeknot/placement/SliceRegistry.java
@@ -248,6 +248,18 @@
     return s;
   }
 
+  /**
+   * Forgets what was seen of a shard's attempts, keeping what their records say: another owner may
+   * start the same attempt once more on its machine, so that an end seen before proves nothing.
+   */
+  void forgetAttempts(int shard) {
+    for (Slice s : of(shard)) {
+      s.out.values().forEach(workers::remove);
+      s.out.clear();
+      s.outChanged();
+    }
+  }
+
   /** An empty slice, to take claimed tasks. */
   Slice create(int shard, Job job) {
     Slice s = new Slice(layout, job.spec().whole(), shard, shards, job.id());
--- a/src/main/java/gladeknot/settings/PartialCuts.java
+++ b/src/main/java/gladeknot/settings/PartialCuts.java
@@ -30,8 +30,10 @@
       long halfLifeMicros,
       long mostSuppressedMicros) {}
 
-  /** Whether shards are offered, and after how long without use. */
-  public record Handover(boolean enabled, long offerAfterMicros) {}
+  /**
+   * Whether shards are offered, after how long without use, and how long who takes one keeps it.
+   */
+  public record Handover(boolean enabled, long offerAfterMicros, long keepMicros) {}
 
   /** Where the operators' listener listens, as host:port. */
   public record Status(String listen) {}
@@ -51,7 +53,8 @@
     Handover offers =
         new Handover(
             handover.flag("enabled", true),
-            handover.micros("offer_after_s", 1.0, 0.1, MOST_SECONDS));
+            handover.micros("offer_after_s", 1.0, 0.1, MOST_SECONDS),
+            handover.micros("keep_s", 30.0, 0, MOST_SECONDS));
     handover.rejectUnknown();
     Optional<Status> status = Optional.empty();
     if (root.has("status")) {
@@ -80,9 +83,9 @@
     Damping damping =
         new Damping(
             table.number("penalty_per_change", 1000, 0, MOST_PENALTY),
-            table.number("suppress_above", 2500, 1, MOST_PENALTY),
+            table.number("suppress_above", 2000, 1, MOST_PENALTY),
             table.number("reuse_below", 800, 1, MOST_PENALTY),
-            table.micros("half_life_s", 15, 0.1, MOST_SECONDS),
+            table.micros("half_life_s", 30, 0.1, MOST_SECONDS),
             table.micros("most_suppressed_s", 60, 0.1, MOST_SECONDS));
     if (damping.suppressAbove() <= damping.reuseBelow()) {
       table.fault("suppress_above", "must be above reuse_below");
--- a/src/test/java/gladeknot/standin/FeatureSettings.java
+++ b/src/test/java/gladeknot/standin/FeatureSettings.java
@@ -16,8 +16,8 @@
         Optional.of(
             new PartialCuts(
                 new PartialCuts.Links(3 * SECOND / 2, 4 * SECOND, 5 * SECOND, SECOND),
-                new PartialCuts.Damping(1000, 2500, 800, 15 * SECOND, 60 * SECOND),
-                new PartialCuts.Handover(true, SECOND),
+                new PartialCuts.Damping(1000, 2000, 800, 30 * SECOND, 60 * SECOND),
+                new PartialCuts.Handover(true, SECOND, 30 * SECOND),
                 Optional.empty(),
                 Optional.empty())));
   }
--- /dev/null
+++ b/src/test/java/gladeknot/standin/PartialCutsMeasurement.java
@@ -0,0 +1,123 @@
+package gladeknot.standin;
+
+import static gladeknot.standin.SimulatedCluster.SECOND;
+
+import gladeknot.settings.Features;
+import gladeknot.standin.DirectionalCuts.Way;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.BiConsumer;
+
+/**
+ * Plays the same schedules of cuts with the feature partial-cuts and without it, on several seeds,
+ * and prints minimum, median and maximum of what it measures. Times are simulated.
+ *
+ * <p>Usage: {@code PartialCutsMeasurement [SEEDS]}.
+ */
+public final class PartialCutsMeasurement {
+  private static final int CUT = 0;
+  private static final long CUT_MICROS = 60 * SECOND;
+  private static final long STEP = SECOND / 10;
+  private static final int DEFAULT_SEEDS = 7;
+
+  private record Schedule(
+      String name, BiConsumer<SimulatedCluster, Boolean> set, long periodMicros) {}
+
+  private static final List<Schedule> SCHEDULES =
+      List.of(
+          new Schedule("state: requests lost", (w, on) -> cut(w, Way.STATE_REQUESTS, on), 0),
+          new Schedule("state: answers lost", (w, on) -> cut(w, Way.STATE_ANSWERS, on), 0),
+          new Schedule("state: 503 to one alone", (w, on) -> w.refuse(CUT, on), 0),
+          new Schedule("reports lost", (w, on) -> cut(w, Way.REPORTS, on), 0),
+          new Schedule("answers to reports lost", (w, on) -> cut(w, Way.REPORT_ANSWERS, on), 0),
+          new Schedule("workers lost both ways", (w, on) -> w.cutFromWorkers(CUT, on), 0),
+          new Schedule("state answers flap, 1 s", (w, on) -> cut(w, Way.STATE_ANSWERS, on), SECOND),
+          new Schedule(
+              "state answers flap, 8 s", (w, on) -> cut(w, Way.STATE_ANSWERS, on), 8 * SECOND),
+          new Schedule(
+              "state answers flap, 10 s", (w, on) -> cut(w, Way.STATE_ANSWERS, on), 10 * SECOND),
+          new Schedule("no cut", (w, on) -> {}, 0));
+
+  /** What one run showed. */
+  private record Result(
+      double movedAfterS, double newTerms, double startsAgain, double ordersBack) {}
+
+  private PartialCutsMeasurement() {}
+
+  private static void cut(SimulatedCluster w, Way way, boolean on) {
+    w.cuts.set(CUT, way, on);
+  }
+
+  private static Result play(Schedule schedule, Features features, long seed) {
+    SimulatedCluster w = new SimulatedCluster(3, seed, SimulatedCluster.SMALL, features);
+    w.run(3 * SECOND);
+    w.submit(0, SimulatedCluster.job("req-web", "service", 9));
+    w.submit(1, SimulatedCluster.job("req-web2", "service", 9));
+    w.run(20 * SECOND + seed % 10 * SECOND / 10);
+    long terms = w.terms();
+    int starts = w.starts();
+    long began = w.now();
+    double moved = Double.NaN;
+    for (long t = 0; t < CUT_MICROS; t += STEP) {
+      boolean on =
+          schedule.periodMicros() == 0 || t % schedule.periodMicros() < schedule.periodMicros() / 2;
+      schedule.set().accept(w, on);
+      w.run(STEP);
+      if (Double.isNaN(moved) && !"node-0".equals(w.owner(CUT))) {
+        moved = (w.now() - began) / (double) SECOND;
+      }
+    }
+    schedule.set().accept(w, false);
+    int startsInCut = w.starts();
+    w.run(60 * SECOND);
+    if (!w.broken().isEmpty()) {
+      throw new IllegalStateException(schedule.name() + ": " + w.broken());
+    }
+    return new Result(moved, w.terms() - terms, startsInCut - starts, w.starts() - startsInCut);
+  }
+
+  private static String spread(List<Double> values) {
+    List<Double> known = new ArrayList<>(values.stream().filter(v -> !Double.isNaN(v)).toList());
+    if (known.isEmpty()) {
+      return "never";
+    }
+    Collections.sort(known);
+    String text =
+        String.format(
+            "%.1f / %.1f / %.1f",
+            known.get(0), known.get(known.size() / 2), known.get(known.size() - 1));
+    int never = values.size() - known.size();
+    return never == 0 ? text : text + " (" + never + " never)";
+  }
+
+  /** Prints a table, one line a schedule and setting. */
+  public static void main(String[] args) {
+    int seeds = args.length > 0 ? Integer.parseInt(args[0]) : DEFAULT_SEEDS;
+    if (args.length == 3) {
+      Schedule s = SCHEDULES.get(Integer.parseInt(args[1]));
+      System.out.println(play(s, FeatureSettings.partialCuts(), Integer.parseInt(args[2])));
+      return;
+    }
+    System.out.println(
+        "| schedule | feature | s until shard 0 moved | new terms | starts anew in the cut | and after |");
+    System.out.println("| --- | --- | --- | --- | --- | --- |");
+    for (Schedule schedule : SCHEDULES) {
+      for (boolean on : new boolean[] {false, true}) {
+        Features features = on ? FeatureSettings.partialCuts() : Features.NONE;
+        List<Result> results = new ArrayList<>();
+        for (int seed = 1; seed <= seeds; seed++) {
+          results.add(play(schedule, features, seed));
+        }
+        System.out.printf(
+            "| %s | %s | %s | %s | %s | %s |%n",
+            schedule.name(),
+            on ? "on" : "off",
+            spread(results.stream().map(Result::movedAfterS).toList()),
+            spread(results.stream().map(Result::newTerms).toList()),
+            spread(results.stream().map(Result::startsAgain).toList()),
+            spread(results.stream().map(Result::ordersBack).toList()));
+      }
+    }
+  }
+}
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -143,6 +143,7 @@
   public long stateDelay;
 
   private boolean watching;
+  private int startsSeen;
   private long calmSince = -1;
   private String cutZone = "";
   private int cutZoneNode = -1;
@@ -919,6 +920,11 @@
     return counter == null ? 0 : Json.num(counter, "n", 0);
   }
 
+  /** How many starts machines have carried out since the beginning. */
+  public int starts() {
+    return startsSeen;
+  }
+
   /** Who owns a shard by its key. */
   public String owner(int shard) {
     return Json.text(state.get("g/shard/" + shard), "owner");
@@ -1019,6 +1025,7 @@
         continue;
       }
       for (; m.startsSeen < m.worker.startCount(); m.startsSeen++) {
+        startsSeen++;
         String task = m.worker.starts.get(m.startsSeen).split(" ")[0];
         Known k = known.get(task.substring(0, task.lastIndexOf('/')));
         if (k != null && k.withdrawnAt >= 0 && now - k.withdrawnAt > START_GRACE + commandDelay) {
