Partial cuts: who took a shard keeps it longer each time it fails at home; unanswered leases are abandoned

Need: where requests to the state service arrive and answers don't, renewals hold the lease for ever and nobody could take the shard, also when the peers are cut off too; a home whose commands get through and whose answers to reports don't took its shard back again and again.

--- a/src/main/java/gladeknot/connectivity/ConnectivityMonitor.java
+++ b/src/main/java/gladeknot/connectivity/ConnectivityMonitor.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -50,6 +51,9 @@
   private long nextHeartbeatMicros;
   private boolean begun;
 
+  /** A shard that leaves home again and again is kept twice as long each time, so often. */
+  private static final int MOST_DOUBLINGS = 3;
+
   /** A monitor that has seen nothing yet; {@link #attach} completes it. */
   public ConnectivityMonitor(Settings settings, PartialCuts feature, Outbox outbox) {
     this.settings = settings;
@@ -126,7 +130,8 @@
     String from = offers.ownerBefore(shard);
     boolean handedOver = from != null && peers.freshReach(from) != null;
     if (handedOver) {
-      keepUntilMicros.put(shard, nowMicros + feature.handover().keepMicros());
+      int doublings = Math.min(MOST_DOUBLINGS, Math.max(0, offers.leftHome(shard) - 1));
+      keepUntilMicros.put(shard, nowMicros + (feature.handover().keepMicros() << doublings));
     } else {
       keepUntilMicros.remove(shard);
     }
@@ -236,7 +241,7 @@
       return null;
     }
     long since = unreachedSince.computeIfAbsent(shard, s -> nowMicros);
-    if (nowMicros - since < feature.handover().offerAfterMicros() || offers.suppressed(shard)) {
+    if (nowMicros - since < feature.handover().offerAfterMicros()) {
       return null;
     }
     return OwnerSelector.better(candidates(shard, zones), own).map(Candidate::node).orElse(null);
@@ -266,6 +271,20 @@
     return reached ? 0 : 2 * feature.links().heartbeatMicros();
   }
 
+  /** Unless the others, as far as they are heard, don't reach the state service either. */
+  @Override
+  public boolean abandonsLease() {
+    if (usable() || !feature.handover().enabled()) {
+      return false;
+    }
+    List<PeerReach> heard =
+        settings.members().stream()
+            .map(m -> peers.freshReach(m.node()))
+            .filter(Objects::nonNull)
+            .toList();
+    return heard.isEmpty() || heard.stream().anyMatch(PeerReach::stateSteady);
+  }
+
   @Override
   public boolean usable() {
     return stateFault == null;
--- a/src/main/java/gladeknot/connectivity/OwnerAdvisor.java
+++ b/src/main/java/gladeknot/connectivity/OwnerAdvisor.java
@@ -24,6 +24,11 @@
         public long takeDelayMicros(int shard) {
           return 0;
         }
+
+        @Override
+        public boolean abandonsLease() {
+          return false;
+        }
       };
 
   /** Who should be given a shard of ours whose workers we don't reach; null if nobody is better. */
@@ -37,4 +42,10 @@
 
   /** How much longer we wait before taking a shard whose owner's lease has lapsed. */
   long takeDelayMicros(int shard);
+
+  /**
+   * Whether a state lease whose renewals are not answered is not to be renewed any more: where
+   * requests arrive and answers don't, it would hold for ever, and nobody could take our shards.
+   */
+  boolean abandonsLease();
 }
--- a/src/main/java/gladeknot/connectivity/ShardOffers.java
+++ b/src/main/java/gladeknot/connectivity/ShardOffers.java
@@ -29,6 +29,9 @@
   /** Who did not accept is not asked again for so many records. */
   private static final int DECLINED_INTERVALS = 10;
 
+  /** A home that has had its shard for so many times the keeping time is trusted again. */
+  private static final int RELIABLE_KEEPS = 8;
+
   /** What we have offered of one shard. */
   private record Offer(long term, String to, long sinceMicros, boolean yielded) {}
 
@@ -40,6 +43,7 @@
   private final LinkTable links;
   private final long heartbeatMicros;
   private final long offerAfterMicros;
+  private final long keepMicros;
   private final Map<Integer, Long> failingSince = new HashMap<>();
   private final Map<Integer, Offer> offers = new HashMap<>();
   private final Map<Integer, Received> received = new HashMap<>();
@@ -47,6 +51,8 @@
   private final Map<Integer, FlapDamping> damping = new HashMap<>();
   private final Map<Integer, String> seenOwner = new HashMap<>();
   private final Map<Integer, String> ownerBefore = new HashMap<>();
+  private final Map<Integer, Long> homeSince = new HashMap<>();
+  private final Map<Integer, Integer> leftHome = new HashMap<>();
   private final Map<Integer, Long> seenTerm = new HashMap<>();
   private long nowMicros;
 
@@ -55,6 +61,7 @@
     this.shards = shards;
     this.links = links;
     this.heartbeatMicros = settings.links().heartbeatMicros();
+    this.keepMicros = settings.handover().keepMicros();
     this.offerAfterMicros = settings.handover().offerAfterMicros();
   }
 
@@ -85,6 +92,7 @@
     String owner = shards.owner(shard);
     if (!Objects.equals(owner, seenOwner.get(shard))) {
       ownerBefore.put(shard, seenOwner.put(shard, owner));
+      changedOwner(shard, owner);
     }
     Long before = seenTerm.put(shard, term);
     if (before != null && before != term) {
@@ -94,6 +102,22 @@
     }
   }
 
+  /** Counts how often a shard has left its home without having been there for long. */
+  private void changedOwner(int shard, String owner) {
+    if (shards.home(shard).equals(owner)) {
+      homeSince.put(shard, nowMicros);
+    } else if (shards.home(shard).equals(ownerBefore.get(shard))) {
+      long stayed = nowMicros - homeSince.getOrDefault(shard, 0L);
+      int before = stayed > RELIABLE_KEEPS * keepMicros ? 0 : leftHome(shard);
+      leftHome.put(shard, before + 1);
+    }
+  }
+
+  /** How often in a row a shard has left its home soon after it had come there. */
+  int leftHome(int shard) {
+    return leftHome.getOrDefault(shard, 0);
+  }
+
   /** Who owned a shard before its present owner; null if that is not known. */
   String ownerBefore(int shard) {
     followTerm(shard);
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -113,7 +113,7 @@
     this.listener = listener;
     this.format = new ClusterFormat(settings, stateStore, stateStore.limits());
     this.times = LeaseTimes.of(settings.workers(), policy.micros(Policy.Name.STATE_LEASE));
-    this.lease = new StateLease(settings, stateStore, times, this::dropAll);
+    this.lease = new StateLease(settings, stateStore, times, advisor, this::dropAll);
     this.delegations = new LeaseDelegations(settings, stateStore, times);
     this.authority = new Authority(this, stateLink);
     this.advisor = advisor;
--- a/src/main/java/gladeknot/membership/StateLease.java
+++ b/src/main/java/gladeknot/membership/StateLease.java
@@ -1,5 +1,6 @@
 package gladeknot.membership;
 
+import gladeknot.connectivity.OwnerAdvisor;
 import gladeknot.http.Json;
 import gladeknot.settings.Settings;
 import gladeknot.state.StateStore;
@@ -31,6 +32,7 @@
   private final LeaseTimes times;
   private final String node;
   private final String ownKey;
+  private final OwnerAdvisor advisor;
   private final Runnable lost;
 
   private long grant;
@@ -43,7 +45,13 @@
   private long nowMicros;
 
   /** A lease that has not been asked for yet; {@code lost} runs when one held has ended. */
-  StateLease(Settings settings, StateStore stateStore, LeaseTimes times, Runnable lost) {
+  StateLease(
+      Settings settings,
+      StateStore stateStore,
+      LeaseTimes times,
+      OwnerAdvisor advisor,
+      Runnable lost) {
+    this.advisor = advisor;
     this.stateStore = stateStore;
     this.times = times;
     this.node = settings.node();
@@ -108,6 +116,12 @@
       end();
       nextRenewMicros = nowMicros;
     }
+    boolean unanswered = nowMicros - renewedMicros > times.stateLeaseMicros();
+    if (grant != 0 && unanswered && advisor.abandonsLease()) {
+      LOG.info("state lease {} is not renewed any more: no answer for a whole lease", grant);
+      grant = 0;
+      end();
+    }
     if (!renewing && nowMicros >= nextRenewMicros) {
       renewing = true;
       if (grant == 0) {
@@ -155,6 +169,7 @@
 
   private void extend() {
     long sent = nowMicros;
+    long extended = grant;
     stateStore.urgent(
         "POST",
         "/holds/" + grant + "/extend",
@@ -162,6 +177,9 @@
         CALL_MICROS,
         reply -> {
           renewing = false;
+          if (grant != extended) {
+            return;
+          }
           if (reply.status() == 200) {
             renewedMicros = sent;
             nextRenewMicros = nowMicros + intervalMicros();
--- a/src/test/java/gladeknot/connectivity/PartialCutsTest.java
+++ b/src/test/java/gladeknot/connectivity/PartialCutsTest.java
@@ -2,6 +2,8 @@
 
 import static gladeknot.standin.SimulatedCluster.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gladeknot.settings.Features;
 import gladeknot.standin.DirectionalCuts.Way;
@@ -56,6 +58,8 @@
     cases.add(new Case("cut from one zone", 137, PartialCutsTest::zoneCut));
     cases.add(new Case("late copies of reports through the cut", 138, PartialCutsTest::copies));
     cases.add(new Case("much work beside a long cut", 139, PartialCutsTest::longCut));
+    cases.add(new Case("state answers and peers lost", 141, PartialCutsTest::answersAndPeersLost));
+    cases.add(new Case("a long cut of answers to reports", 142, PartialCutsTest::answersLostLong));
     cases.add(new Case("the state service is out for all", 140, PartialCutsTest::outage));
     return cases;
   }
@@ -223,6 +227,27 @@
     w.cuts.clear();
   }
 
+  /** Renewals arrive all the time: without its owner's own doing the shard would stay there. */
+  private static void answersAndPeersLost(SimulatedCluster w) {
+    w.cuts.set(0, Way.STATE_ANSWERS, true);
+    w.cutFromPeers(0, true);
+    w.run(SECOND);
+    w.abort(1, "req-cut");
+    w.run(45 * SECOND);
+    assertNotEquals("node-0", w.owner(0));
+    w.cuts.clear();
+    w.cutFromPeers(0, false);
+  }
+
+  /** Direct commands get through, so that the home looks well whenever it is asked. */
+  private static void answersLostLong(SimulatedCluster w) {
+    long terms = w.terms();
+    w.cuts.set(0, Way.REPORT_ANSWERS, true);
+    w.run(300 * SECOND);
+    w.cuts.clear();
+    assertTrue(w.terms() - terms <= 10, "new terms: " + (w.terms() - terms));
+  }
+
   private static void outage(SimulatedCluster w) {
     w.outage(true);
     w.run(SECOND);
