--- a/src/main/java/gladeknot/connectivity/ConnectivityMonitor.java
+++ b/src/main/java/gladeknot/connectivity/ConnectivityMonitor.java
@@ -26,8 +26,8 @@
 public final class ConnectivityMonitor implements Authority.StateLink, OwnerAdvisor {
   private static final long UPDATE_MICROS = 100_000;
 
-  /** Between two looks for workers that are not ours any more. */
-  private static final long FORGET_MICROS = 1_000_000;
+  /** Between two counts of the shards' workers. */
+  private static final long COUNT_MICROS = 1_000_000;
 
   private final Settings settings;
   private final PartialCuts feature;
@@ -37,6 +37,7 @@
   private final WorkerLinkObserver workers;
   private final PeerLinkObserver peers;
   private final AuthorityLog log = new AuthorityLog();
+  private final Map<Integer, Map<String, Integer>> zonesOfShards = new HashMap<>();
   private final Map<Integer, Long> keepUntilMicros = new HashMap<>();
   private final Map<Integer, Long> unreachedSince = new HashMap<>();
   private ShardView shards;
@@ -47,7 +48,7 @@
   private long nowMicros;
   private long wallMicros;
   private long nextUpdateMicros;
-  private long nextForgetMicros;
+  private long nextCountMicros;
   private long nextHeartbeatMicros;
   private boolean begun;
 
@@ -94,9 +95,9 @@
       return;
     }
     nextUpdateMicros = now + UPDATE_MICROS;
-    if (now >= nextForgetMicros) {
-      nextForgetMicros = now + FORGET_MICROS;
-      forgetOthersWorkers();
+    if (now >= nextCountMicros) {
+      nextCountMicros = now + COUNT_MICROS;
+      countWorkers();
     }
     links.update(now);
     stateFault = links.unreachable(LinkId.STATE);
@@ -110,13 +111,23 @@
     }
   }
 
-  /** Workers that were given back or lent say nothing of our links by their silence. */
-  private void forgetOthersWorkers() {
+  /**
+   * Counts the workers of each shard by zone, and forgets those that were given back or lent: they
+   * say nothing of our links by their silence.
+   */
+  private void countWorkers() {
     Set<String> ours = new HashSet<>();
+    zonesOfShards.clear();
     for (int shard = 0; shard < shards.shards(); shard++) {
-      if (shards.ours(shard)) {
-        shards.workers(shard).forEach(w -> ours.add(w.host()));
+      boolean own = shards.ours(shard);
+      Map<String, Integer> zones = new HashMap<>();
+      for (WorkerAddress worker : shards.workers(shard)) {
+        zones.merge(worker.zone(), 1, Integer::sum);
+        if (own) {
+          ours.add(worker.host());
+        }
       }
+      zonesOfShards.put(shard, zones);
     }
     for (String host : workers.ours()) {
       if (!ours.contains(host)) {
@@ -196,11 +207,7 @@
   }
 
   private Map<String, Integer> workersByZone(int shard) {
-    Map<String, Integer> zones = new HashMap<>();
-    for (WorkerAddress worker : shards.workers(shard)) {
-      zones.merge(worker.zone(), 1, Integer::sum);
-    }
-    return zones;
+    return zonesOfShards.getOrDefault(shard, Map.of());
   }
 
   private List<Candidate> candidates(int shard, Map<String, Integer> zones) {
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -144,6 +144,8 @@
 
   private boolean watching;
   private int startsSeen;
+  private long peerBytes;
+  private long stateCalls;
   private long calmSince = -1;
   private String cutZone = "";
   private int cutZoneNode = -1;
@@ -485,6 +487,7 @@
       send(i, call);
     }
     for (PeerMessage message : n.core.outbox().takeMessages()) {
+      peerBytes += (long) message.encode().length * (nodes.size() - 1);
       for (int j = 0; j < nodes.size(); j++) {
         Node other = nodes.get(j);
         if (other != n && !n.cutFromPeers && !other.cutFromPeers && !cuts.peerLost(i, j)) {
@@ -510,6 +513,7 @@
     Node n = nodes.get(i);
     long life = n.life;
     boolean toState = call.address().startsWith("state");
+    stateCalls += toState ? 1 : 0;
     if (toState && cuts.refused(i)) {
       later(2_000, () -> reply(i, life, call, null));
       return;
@@ -925,6 +929,16 @@
     return startsSeen;
   }
 
+  /** Bytes of records between controllers so far. */
+  public long peerBytes() {
+    return peerBytes;
+  }
+
+  /** Calls to the state service so far. */
+  public long stateCalls() {
+    return stateCalls;
+  }
+
   /** Who owns a shard by its key. */
   public String owner(int shard) {
     return Json.text(state.get("g/shard/" + shard), "owner");
