Partial cuts: a shard goes home once a worker sent there has come back in time

Change: HomeCanary in place of the probes by /status: one worker is sent to the home by 421 and must be back before it would have given up waiting there.

--- a/src/main/java/gladeknot/app/Core.java
+++ b/src/main/java/gladeknot/app/Core.java
@@ -135,7 +135,7 @@
             membership,
             workers,
             outbox,
-            connectivity.map(ConnectivityMonitor::workerTraffic).orElse(WorkerTraffic.NONE),
+            connectivity.<WorkerTraffic>map(c -> c).orElse(WorkerTraffic.NONE),
             new WorkerSync());
   }
 
--- a/src/main/java/gladeknot/connectivity/ConnectivityMonitor.java
+++ b/src/main/java/gladeknot/connectivity/ConnectivityMonitor.java
@@ -23,7 +23,7 @@
  * Follows this controller's links, tells the others what it reaches, and advises by that who should
  * own a shard and whether new orders may be given. The feature {@code partial-cuts}.
  */
-public final class ConnectivityMonitor implements Authority.StateLink, OwnerAdvisor {
+public final class ConnectivityMonitor implements Authority.StateLink, OwnerAdvisor, WorkerTraffic {
   private static final long UPDATE_MICROS = 100_000;
 
   /** Between two counts of the shards' workers. */
@@ -36,6 +36,7 @@
   private final ServiceLinkObserver services;
   private final WorkerLinkObserver workers;
   private final PeerLinkObserver peers;
+  private final HomeCanary canary = new HomeCanary();
   private final AuthorityLog log = new AuthorityLog();
   private final Map<Integer, Map<String, Integer>> zonesOfShards = new HashMap<>();
   private final Map<Integer, Long> keepUntilMicros = new HashMap<>();
@@ -43,7 +44,6 @@
   private ShardView shards;
   private Authority authority;
   private ShardOffers offers;
-  private WorkerProbes probes;
   private LinkTable.DirectionState stateFault;
   private long nowMicros;
   private long wallMicros;
@@ -52,7 +52,7 @@
   private long nextHeartbeatMicros;
   private boolean begun;
 
-  /** A shard that leaves home again and again is kept twice as long each time, so often. */
+  /** A shard whose home fails again and again is kept twice as long each time, so often. */
   private static final int MOST_DOUBLINGS = 3;
 
   /** A monitor that has seen nothing yet; {@link #attach} completes it. */
@@ -72,12 +72,26 @@
     shards = shardView;
     authority = shardAuthority;
     offers = new ShardOffers(settings.node(), shards, links, feature);
-    probes = new WorkerProbes(settings.node(), shards, outbox, workers);
   }
 
-  /** What hears of reports and answers. */
-  public WorkerTraffic workerTraffic() {
-    return workers;
+  @Override
+  public void reported(Arrival arrival) {
+    workers.reported(arrival);
+    if (arrival.ours() && canary.failed(arrival.shard(), arrival.host())) {
+      keepLonger(arrival.shard());
+    }
+  }
+
+  @Override
+  public void answered(String host) {
+    workers.answered(host);
+  }
+
+  @Override
+  public String redirect(Arrival arrival, boolean idle) {
+    String home = shards.home(arrival.shard());
+    boolean away = !settings.node().equals(home);
+    return away && canary.send(arrival.shard(), arrival.host(), idle) ? home : null;
   }
 
   /** Lets time pass; both clocks in microseconds, the steady one and the time of day. */
@@ -101,7 +115,10 @@
     }
     links.update(now);
     stateFault = links.unreachable(LinkId.STATE);
-    probes.tick(now);
+    int failed = canary.tick(now);
+    if (failed >= 0) {
+      keepLonger(failed);
+    }
     for (int shard = 0; shard < shards.shards(); shard++) {
       log.look(shard, authority, wall);
     }
@@ -140,17 +157,22 @@
   public void gained(int shard) {
     String from = offers.ownerBefore(shard);
     boolean handedOver = from != null && peers.freshReach(from) != null;
-    if (handedOver) {
-      int doublings = Math.min(MOST_DOUBLINGS, Math.max(0, offers.leftHome(shard) - 1));
-      keepUntilMicros.put(shard, nowMicros + (feature.handover().keepMicros() << doublings));
-    } else {
-      keepUntilMicros.remove(shard);
+    keepUntilMicros.remove(shard);
+    if (handedOver && !settings.node().equals(shards.home(shard))) {
+      keepLonger(shard);
     }
   }
 
+  /** Keeps a shard from going home for a while, twice as long each time. */
+  private void keepLonger(int shard) {
+    int times = Math.min(MOST_DOUBLINGS, offers.failedAtHome(shard));
+    keepUntilMicros.put(shard, nowMicros + (feature.handover().keepMicros() << times));
+  }
+
   /** A shard has ceased to be ours. */
   public void lost(int shard) {
     workers.lost(shard);
+    canary.forget(shard);
     unreachedSince.remove(shard);
   }
 
@@ -260,10 +282,14 @@
     if (!feature.handover().enabled() || reach == null) {
       return true;
     }
-    return nowMicros >= keepUntilMicros.getOrDefault(shard, nowMicros)
+    Long until = keepUntilMicros.get(shard);
+    if (until == null) {
+      return true;
+    }
+    return nowMicros >= until
         && reach.stateSteady()
         && !offers.suppressed(shard)
-        && ReachScore.of(workersByZone(shard), reach, shard) >= ReachScore.UNKNOWN;
+        && (workersByZone(shard).isEmpty() || canary.passed(shard));
   }
 
   @Override
--- a/src/main/java/gladeknot/connectivity/LinkTable.java
+++ b/src/main/java/gladeknot/connectivity/LinkTable.java
@@ -52,6 +52,11 @@
     return directions.computeIfAbsent(direction, d -> new DirectionHealth(limits, damping));
   }
 
+  /** Nothing is known of a link any more. */
+  void forget(LinkId link) {
+    links.remove(link);
+  }
+
   /** A limiter of changes by the same limits that links have. */
   FlapDamping newDamping() {
     return new FlapDamping(damping);
--- a/src/main/java/gladeknot/connectivity/ShardOffers.java
+++ b/src/main/java/gladeknot/connectivity/ShardOffers.java
@@ -102,22 +102,30 @@
     }
   }
 
-  /** Counts how often a shard has left its home without having been there for long. */
+  /** A shard that leaves its home after a long stay there begins to be counted anew. */
   private void changedOwner(int shard, String owner) {
     if (shards.home(shard).equals(owner)) {
       homeSince.put(shard, nowMicros);
     } else if (shards.home(shard).equals(ownerBefore.get(shard))) {
       long stayed = nowMicros - homeSince.getOrDefault(shard, 0L);
-      int before = stayed > RELIABLE_KEEPS * keepMicros ? 0 : leftHome(shard);
-      leftHome.put(shard, before + 1);
+      if (stayed > RELIABLE_KEEPS * keepMicros) {
+        leftHome.remove(shard);
+      }
     }
   }
 
   /** How often in a row a shard has left its home soon after it had come there. */
-  int leftHome(int shard) {
+  private int leftHome(int shard) {
     return leftHome.getOrDefault(shard, 0);
   }
 
+  /** Counts one more failure of a shard's home; returns how many there were before in a row. */
+  int failedAtHome(int shard) {
+    int before = leftHome(shard);
+    leftHome.put(shard, before + 1);
+    return before;
+  }
+
   /** Who owned a shard before its present owner; null if that is not known. */
   String ownerBefore(int shard) {
     followTerm(shard);
--- a/src/main/java/gladeknot/connectivity/WorkerLinkObserver.java
+++ b/src/main/java/gladeknot/connectivity/WorkerLinkObserver.java
@@ -2,9 +2,11 @@
 
 import gladeknot.settings.Settings;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -117,21 +119,23 @@
     }
   }
 
-  /** A probe of a worker has been answered, or has not. */
-  void probed(String zone, long sentMicros, boolean answered) {
-    for (Direction direction : new Direction[] {Direction.OUTBOUND, Direction.INBOUND}) {
-      DirectionHealth health = links.health(LinkId.workers(zone), direction);
-      if (answered) {
-        health.proven(sentMicros);
-      } else {
-        health.overdue(sentMicros);
+  /** The shard has ceased to be ours: what its workers do here says nothing of our answers. */
+  void lost(int shard) {
+    Set<String> zones = new HashSet<>();
+    for (Contact contact : contacts.values()) {
+      if (contact.ours && contact.shard == shard) {
+        zones.add(contact.zone);
       }
     }
+    contacts.values().removeIf(c -> c.ours && c.shard == shard);
+    contacts.values().stream().filter(c -> c.ours).forEach(c -> zones.remove(c.zone));
+    // No worker of ours is left there: what was concluded would stand for ever.
+    zones.forEach(zone -> links.forget(LinkId.workers(zone)));
   }
 
-  /** The shard has ceased to be ours: what its workers do here says nothing of our answers. */
-  void lost(int shard) {
-    contacts.values().removeIf(c -> c.ours && c.shard == shard);
+  @Override
+  public String redirect(Arrival arrival, boolean idle) {
+    return null;
   }
 
   /** Looks over all contacts and passes what they show to the zones' links. */
--- a/src/main/java/gladeknot/connectivity/WorkerTraffic.java
+++ b/src/main/java/gladeknot/connectivity/WorkerTraffic.java
@@ -10,6 +10,11 @@
 
         @Override
         public void answered(String host) {}
+
+        @Override
+        public String redirect(Arrival arrival, boolean idle) {
+          return null;
+        }
       };
 
   /** A report as it came: whose, and whether this controller acts for its shard. */
@@ -20,4 +25,10 @@
 
   /** A report of a worker of ours is answered with 200. */
   void answered(String host);
+
+  /**
+   * The controller that a worker of ours is sent to instead of an answer, to see whether it gets
+   * through there; null if it is answered here.
+   */
+  String redirect(Arrival arrival, boolean idle);
 }
--- a/src/main/java/gladeknot/workers/WorkerRequestHandler.java
+++ b/src/main/java/gladeknot/workers/WorkerRequestHandler.java
@@ -174,8 +174,14 @@
       outbox.comeBack(request, 503, "older than a report already taken", 1);
       return;
     }
+    WorkerTraffic.Arrival arrival = arrival(report, shard, true);
+    String elsewhere = traffic.redirect(arrival, report.tasks().isEmpty());
+    if (elsewhere != null) {
+      outbox.answer(request, 421, Json.of("foreman", elsewhere));
+      return;
+    }
     worker.report(report, nowMicros);
-    traffic.reported(arrival(report, shard, true));
+    traffic.reported(arrival);
     List<Map<String, Object>> orders = sync.orders(worker, report);
     long quietUntil = orders.isEmpty() && sync.quiet(worker) ? nowMicros + quietMicros : 0;
     long until = Math.max(nowMicros, quietUntil) + holdMicros;
