--- a/src/test/java/gladeknot/connectivity/PartialCutsPropertiesTest.java
+++ b/src/test/java/gladeknot/connectivity/PartialCutsPropertiesTest.java
@@ -34,6 +34,10 @@
     SERVE_STATE,
     RESTART,
     LOSE_ANSWER,
+    LATE_WRITES,
+    PUNCTUAL_WRITES,
+    SLOW_PEERS,
+    FAST_PEERS,
     JOIN_ALL,
     CANCEL
   }
@@ -49,6 +53,10 @@
         case REFUSE_STATE -> w.refuse(node, true);
         case SERVE_STATE -> w.refuse(node, false);
         case LOSE_ANSWER -> w.loseAnswers++;
+        case LATE_WRITES -> w.lateWrites = 0.3;
+        case PUNCTUAL_WRITES -> w.lateWrites = 0;
+        case SLOW_PEERS -> w.peerDelay = tenths * SECOND / 2;
+        case FAST_PEERS -> w.peerDelay = 0;
         case JOIN_ALL -> w.cuts.clear();
         case CANCEL -> w.abort(node, "req-cut");
         case RESTART -> {
@@ -98,6 +106,8 @@
     w.run(12 * SECOND);
     schedule.forEach(step -> step.play(w));
     w.cuts.clear();
+    w.lateWrites = 0;
+    w.peerDelay = 0;
     for (int i = 0; i < NODES; i++) {
       w.refuse(i, false);
     }
--- a/src/test/java/gladeknot/connectivity/PartialCutsTest.java
+++ b/src/test/java/gladeknot/connectivity/PartialCutsTest.java
@@ -60,6 +60,9 @@
     cases.add(new Case("much work beside a long cut", 139, PartialCutsTest::longCut));
     cases.add(new Case("state answers and peers lost", 141, PartialCutsTest::answersAndPeersLost));
     cases.add(new Case("a long cut of answers to reports", 142, PartialCutsTest::answersLostLong));
+    cases.add(new Case("beside the version before", 143, PartialCutsTest::besideOldVersion));
+    cases.add(new Case("beside one without the feature", 144, PartialCutsTest::besideOneWithout));
+    cases.add(new Case("records between controllers come late", 145, PartialCutsTest::latePeers));
     cases.add(new Case("the state service is out for all", 140, PartialCutsTest::outage));
     return cases;
   }
@@ -248,6 +251,49 @@
     assertTrue(w.terms() - terms <= 10, "new terms: " + (w.terms() - terms));
   }
 
+  /** The one that is left with the feature is no better placed than the old one: leases decide. */
+  private static void besideOldVersion(SimulatedCluster w) {
+    for (int old : new int[] {1, 2}) {
+      w.kill(old);
+      w.features(old, Features.NONE);
+      w.appearsOld(old, true);
+      w.start(old);
+    }
+    w.run(20 * SECOND);
+    w.cuts.set(0, Way.STATE_ANSWERS, true);
+    w.run(SECOND);
+    w.abort(1, "req-cut");
+    w.run(40 * SECOND);
+    assertNotEquals("node-0", w.owner(0));
+    w.cuts.clear();
+  }
+
+  private static void besideOneWithout(SimulatedCluster w) {
+    w.kill(1);
+    w.features(1, Features.NONE);
+    w.start(1);
+    w.run(20 * SECOND);
+    w.cuts.set(0, Way.STATE_ANSWERS, true);
+    w.run(12 * SECOND);
+    assertEquals("node-2", w.owner(0));
+    w.run(20 * SECOND);
+    w.cuts.clear();
+  }
+
+  private static void latePeers(SimulatedCluster w) {
+    w.cuts.set(0, Way.STATE_ANSWERS, true);
+    w.run(4_500_000);
+    w.peerDelay = 15 * SECOND;
+    w.run(3 * SECOND);
+    w.cuts.clear();
+    w.run(20 * SECOND);
+    w.cuts.set(0, Way.STATE_ANSWERS, true);
+    w.run(8 * SECOND);
+    w.cuts.clear();
+    w.run(30 * SECOND);
+    w.peerDelay = 0;
+  }
+
   private static void outage(SimulatedCluster w) {
     w.outage(true);
     w.run(SECOND);
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -120,6 +120,7 @@
   public final DirectionalCuts cuts = new DirectionalCuts();
 
   private final Features features;
+  private final Map<Integer, Features> ownFeatures = new HashMap<>();
   private final List<CloudStandIn.Machine> booting = new ArrayList<>();
   private long seenCloudChanges = -1;
   private final Set<String> enteredBefore = new HashSet<>();
@@ -139,6 +140,9 @@
   /** What answers to workers and direct commands take on their way. */
   public long commandDelay;
 
+  /** What records between controllers take longer; they may overtake one another. */
+  public long peerDelay;
+
   /** What each call to the state service takes longer. */
   public long stateDelay;
 
@@ -222,13 +226,23 @@
   /** Starts a controller that knows nothing of its former life. */
   public void start(int i) {
     Node n = nodes.get(i);
-    n.core = new Core(settings(i, count, scale), features, Policy.of(""), random.split());
+    n.core =
+        new Core(
+            settings(i, count, scale),
+            ownFeatures.getOrDefault(i, features),
+            Policy.of(""),
+            random.split());
     n.up = true;
     n.paused = false;
     n.life++;
     n.asked.clear();
   }
 
+  /** Gives one controller features of its own, from its next start on. */
+  public void features(int i, Features own) {
+    ownFeatures.put(i, own);
+  }
+
   /** Ends a controller; what it has sent may still arrive. */
   public void kill(int i) {
     nodes.get(i).up = false;
@@ -492,7 +506,7 @@
         Node other = nodes.get(j);
         if (other != n && !n.cutFromPeers && !other.cutFromPeers && !cuts.peerLost(i, j)) {
           later(
-              2_000,
+              2_000 + peerDelay,
               () -> {
                 if (other.up && !other.paused) {
                   other.core.message(message);
--- a/src/test/java/gladeknot/standin/StandInServer.java
+++ b/src/test/java/gladeknot/standin/StandInServer.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -24,6 +25,7 @@
 public final class StandInServer {
   private static final long TASK_MICROS = 1_500_000;
   private static final int CONTROLLERS = 3;
+  private static final int FIRST_STATUS_PORT = 7171;
   private static final long TRAINING_MICROS = 30_000_000;
 
   private final HttpClient client =
@@ -113,6 +115,16 @@
     return String.valueOf(answer.get("phase"));
   }
 
+  /** A file for each controller that turns partial-cuts on, with a listener of its own. */
+  private static void writeFeatureFiles(Path dir) throws IOException {
+    for (int i = 0; i < CONTROLLERS; i++) {
+      String listen = "127.0.0.1:" + (FIRST_STATUS_PORT + i);
+      Files.writeString(
+          dir.resolve("partial-cuts-" + i + ".toml"),
+          "feature = \"partial-cuts\"\n[status]\nlisten = \"" + listen + "\"\n");
+    }
+  }
+
   /** Serves until it is ended, or trains a controller; see README. */
   public static void main(String[] args) throws Exception {
     StandInServer server = new StandInServer();
@@ -123,6 +135,7 @@
     }
     try {
       server.services.start(dir, CONTROLLERS);
+      writeFeatureFiles(dir);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
