--- a/src/test/java/gladeknot/standin/PartialCutsMeasurement.java
+++ b/src/test/java/gladeknot/standin/PartialCutsMeasurement.java
@@ -16,7 +16,8 @@
  * and prints minimum, median and maximum of what it measures. Times are simulated.
  *
  * <p>Usage: {@code PartialCutsMeasurement [SEEDS]}, or {@code PartialCutsMeasurement cost MACHINES}
- * for what it costs without any cut.
+ * for what it costs without any cut, or {@code PartialCutsMeasurement orders SEEDS} for how long a
+ * cut controller goes on giving orders.
  */
 public final class PartialCutsMeasurement {
   private static final int CUT = 0;
@@ -24,6 +25,10 @@
   private static final long STEP = SECOND / 10;
   private static final int DEFAULT_SEEDS = 7;
   private static final int COST_JOBS = 6;
+  private static final int ORDER_SECONDS = 60;
+
+  /** How many of the schedules, from the first, cut the state service for good. */
+  private static final int STATE_SCHEDULES = 3;
 
   private record Schedule(
       String name, BiConsumer<SimulatedCluster, Boolean> set, long periodMicros) {}
@@ -81,6 +86,39 @@
     return new Result(moved, w.terms() - terms, startsInCut - starts, w.starts() - startsInCut);
   }
 
+  /** Seconds from a cut to the cut controller's last order while small jobs keep coming. */
+  private static double lastOrder(Schedule schedule, Features features, long seed) {
+    SimulatedCluster w = new SimulatedCluster(3, seed, SimulatedCluster.SMALL, features);
+    w.run(3 * SECOND);
+    int next = 0;
+    long began = 0;
+    for (int second = 0; second < ORDER_SECONDS; second++) {
+      if (second == ORDER_SECONDS / 3) {
+        schedule.set().accept(w, true);
+        began = w.now();
+      }
+      w.submit(next % 3, SimulatedCluster.job("req-small" + next++, "array", 3));
+      w.run(SECOND);
+    }
+    return (w.lastOrderMicros(CUT) - began) / (double) SECOND;
+  }
+
+  private static void orders(int seeds) {
+    System.out.println("| schedule | feature | s until the cut controller's last order |");
+    System.out.println("| --- | --- | --- |");
+    for (Schedule schedule : SCHEDULES.subList(0, STATE_SCHEDULES)) {
+      for (boolean on : new boolean[] {false, true}) {
+        Features features = on ? FeatureSettings.partialCuts() : Features.NONE;
+        List<Double> results = new ArrayList<>();
+        for (int seed = 1; seed <= seeds; seed++) {
+          results.add(lastOrder(schedule, features, seed));
+        }
+        System.out.printf(
+            "| %s | %s | %s |%n", schedule.name(), on ? "on" : "off", spread(results));
+      }
+    }
+  }
+
   private static String spread(List<Double> values) {
     List<Double> known = new ArrayList<>(values.stream().filter(v -> !Double.isNaN(v)).toList());
     if (known.isEmpty()) {
@@ -129,6 +167,10 @@
 
   /** Prints a table, one line a schedule and setting. */
   public static void main(String[] args) {
+    if (args.length == 2 && args[0].equals("orders")) {
+      orders(Integer.parseInt(args[1]));
+      return;
+    }
     if (args.length == 2) {
       cost(Integer.parseInt(args[1]));
       return;
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -148,6 +148,7 @@
 
   private boolean watching;
   private int startsSeen;
+  private final Map<Integer, Long> lastOrderMicros = new HashMap<>();
   private long peerBytes;
   private long stateCalls;
   private long calmSince = -1;
@@ -776,12 +777,30 @@
                         if (!over[0] && !m.deaf && !m.hung && m.worker == life && !lost) {
                           over[0] = true;
                           m.waiting = false;
+                          noteOrders(to, answer);
                           answered(m, answer, sent, tenure);
                         }
                       });
                 }));
   }
 
+  /** Notes when a controller's orders to begin or stop something reached a worker last. */
+  private void noteOrders(int node, Outbox.Answer answer) {
+    try {
+      List<Map<String, Object>> orders = Json.objects(Json.object(answer.body()), "orders");
+      if (orders.stream().anyMatch(order -> !"reap".equals(order.get("verb")))) {
+        lastOrderMicros.put(node, now);
+      }
+    } catch (IOException e) {
+      broken.add("an answer to a worker is no JSON object");
+    }
+  }
+
+  /** When an order of a controller to begin or stop something reached a worker last. */
+  public long lastOrderMicros(int node) {
+    return lastOrderMicros.getOrDefault(node, 0L);
+  }
+
   private void next(Machine m) {
     m.node = (m.node + 1) % nodes.size();
     m.nextReport = now + SECOND;
