--- a/src/main/java/gladeknot/connectivity/Authority.java
+++ b/src/main/java/gladeknot/connectivity/Authority.java
@@ -1,8 +1,5 @@
 package gladeknot.connectivity;
 
-import java.util.EnumSet;
-import java.util.Set;
-
 /** Decides what may be done for a shard now, by {@link OrderKind}'s table. */
 public final class Authority {
   /** What leases, transactions and the copy say of a shard. */
@@ -43,8 +40,10 @@
     String fault();
   }
 
-  private static final Set<Requirement> ORDERS =
-      EnumSet.complementOf(EnumSet.of(Requirement.LEASE));
+  /** What full authority needs besides the lease. */
+  private static final Requirement[] BESIDES_LEASE = {
+    Requirement.SETTLED, Requirement.LOADED, Requirement.FRESH_COPY, Requirement.STATE_LINK
+  };
 
   private final ShardFacts facts;
   private final StateLink stateLink;
@@ -85,7 +84,7 @@
   }
 
   private Requirement missing(int shard) {
-    for (Requirement requirement : ORDERS) {
+    for (Requirement requirement : BESIDES_LEASE) {
       if (!holds(requirement, shard)) {
         return requirement;
       }
--- a/src/main/java/gladeknot/connectivity/OrderKind.java
+++ b/src/main/java/gladeknot/connectivity/OrderKind.java
@@ -6,9 +6,6 @@
 import static gladeknot.connectivity.Requirement.SETTLED;
 import static gladeknot.connectivity.Requirement.STATE_LINK;
 
-import java.util.EnumSet;
-import java.util.Set;
-
 /**
  * Everything that a controller may do for a shard, with what must hold for it: the one table of
  * authority. {@link Authority#permits} is the one place where it is looked up.
@@ -42,16 +39,14 @@
   /** Answers to users that are not final; final ones need nothing. */
   ANSWER_USER(STATE_LINK);
 
-  private final Set<Requirement> requirements;
+  private final Requirement[] requirements;
 
   OrderKind(Requirement... requirements) {
-    EnumSet<Requirement> set = EnumSet.noneOf(Requirement.class);
-    set.addAll(java.util.List.of(requirements));
-    this.requirements = set;
+    this.requirements = requirements;
   }
 
-  /** What must hold, in the order in which it is looked at. */
-  public Set<Requirement> requirements() {
+  /** What must hold, in the order in which it is looked at; not to be changed. */
+  Requirement[] requirements() {
     return requirements;
   }
 }
--- a/src/main/java/gladeknot/placement/RecordWriter.java
+++ b/src/main/java/gladeknot/placement/RecordWriter.java
@@ -404,7 +404,8 @@
 
   /** Whether what a slice has to write may be written now. */
   private boolean mayWrite(Slice s) {
-    return membership.permits(s.starts() ? OrderKind.DECIDE : OrderKind.RECORD, s.shard());
+    return membership.permits(OrderKind.DECIDE, s.shard())
+        || (membership.permits(OrderKind.RECORD, s.shard()) && !s.starts());
   }
 
   /** Whether a shard's changes may be written now; what can't ever be any more is dropped. */
