Partial cuts: new terms of one owner are no flapping

An owner whose transaction gets no answer makes its key's term new, which others counted for the damping, so that they took no offer of that shard.

--- a/src/main/java/gladeknot/connectivity/ShardOffers.java
+++ b/src/main/java/gladeknot/connectivity/ShardOffers.java
@@ -86,17 +86,24 @@
     return changed;
   }
 
-  /** A new term ends what was said under the one before, and counts as a change of owner. */
+  /**
+   * A new term ends what was said under the one before. Only a change of owner counts for the
+   * damping: an owner whose transaction gets no answer makes its key's stamp and term new, and
+   * would keep its shard from being taken just when it is cut off.
+   */
   private void followTerm(int shard) {
     long term = shards.term(shard);
     String owner = shards.owner(shard);
     if (!Objects.equals(owner, seenOwner.get(shard))) {
-      ownerBefore.put(shard, seenOwner.put(shard, owner));
+      String from = seenOwner.put(shard, owner);
+      ownerBefore.put(shard, from);
       changedOwner(shard, owner);
+      if (from != null) {
+        damping(shard).changed(nowMicros);
+      }
     }
     Long before = seenTerm.put(shard, term);
     if (before != null && before != term) {
-      damping(shard).changed(nowMicros);
       offers.remove(shard);
       received.remove(shard);
     }
--- /dev/null
+++ b/src/test/java/gladeknot/connectivity/ShardOffersTest.java
@@ -0,0 +1,102 @@
+package gladeknot.connectivity;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.settings.PartialCuts;
+import gladeknot.standin.FeatureSettings;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** What counts as a change of owner, and holds offers up for a while. */
+class ShardOffersTest {
+  private static final long SECOND = 1_000_000;
+
+  private String owner = "node-0";
+  private long term = 1;
+
+  private final ShardView shards =
+      new ShardView() {
+        @Override
+        public int shards() {
+          return 1;
+        }
+
+        @Override
+        public String home(int shard) {
+          return "node-0";
+        }
+
+        @Override
+        public String owner(int shard) {
+          return owner;
+        }
+
+        @Override
+        public long incarnation(int shard) {
+          return 7;
+        }
+
+        @Override
+        public long term(int shard) {
+          return term;
+        }
+
+        @Override
+        public long mostTerm(int shard) {
+          return term;
+        }
+
+        @Override
+        public boolean ours(int shard) {
+          return false;
+        }
+
+        @Override
+        public void yield(int shard) {}
+
+        @Override
+        public Collection<WorkerAddress> workers(int shard) {
+          return List.of();
+        }
+      };
+
+  private ShardOffers offers() {
+    PartialCuts settings = FeatureSettings.partialCuts().partialCuts().orElseThrow();
+    return new ShardOffers("node-1", shards, new LinkTable(settings), settings);
+  }
+
+  private static void tick(ShardOffers offers, long second) {
+    offers.tick(second * SECOND, (shard, leftOut) -> Optional.empty());
+  }
+
+  /**
+   * An owner whose transactions get no answer makes the term new each time: counted as flapping,
+   * that kept its shard from being taken just when it was cut off.
+   */
+  @Test
+  void newTermsOfOneOwnerAreNoFlapping() {
+    ShardOffers offers = offers();
+    for (int second = 1; second <= 6; second++) {
+      term++;
+      tick(offers, second);
+      assertFalse(offers.suppressed(0));
+    }
+  }
+
+  @Test
+  void ownersThatChangeAreDampedForAWhile() {
+    ShardOffers offers = offers();
+    for (int second = 1; second <= 4; second++) {
+      tick(offers, second);
+      owner = second % 2 == 0 ? "node-0" : "node-2";
+      term++;
+    }
+    tick(offers, 5);
+    assertTrue(offers.suppressed(0));
+    tick(offers, 70);
+    assertFalse(offers.suppressed(0));
+  }
+}
