--- /dev/null
+++ b/src/test/java/gladeknot/app/PartialCutsLoopbackTest.java
@@ -0,0 +1,157 @@
+package gladeknot.app;
+
+import static gladeknot.standin.LoopbackCluster.peerLink;
+import static gladeknot.standin.LoopbackCluster.stateLink;
+import static gladeknot.standin.LoopbackCluster.workerLink;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.standin.DirectionalProxy.Mode;
+import gladeknot.standin.DirectionalProxy.Toward;
+import gladeknot.standin.LoopbackCluster;
+import gladeknot.standin.LoopbackUsers;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Three controllers as real processes on loopback, while users submit, ask and cancel: single
+ * directions are dropped and let through again, and the history is checked in the end.
+ */
+class PartialCutsLoopbackTest {
+  private static final int CONTROLLERS = 3;
+  private static final long SEED = 20261202;
+  private static final long PACE_MILLIS = 400;
+
+  @TempDir Path dir;
+
+  private static void pause(double seconds) {
+    try {
+      Thread.sleep((long) (seconds * 1000));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Waits until something holds; returns after how many seconds, or fails. */
+  private static double await(String what, double seconds, BooleanSupplier holds) {
+    long began = System.nanoTime();
+    while (!holds.getAsBoolean()) {
+      double waited = (System.nanoTime() - began) / 1e9;
+      assertTrue(waited < seconds, what + ": not within " + seconds + " s");
+      pause(0.1);
+    }
+    return (System.nanoTime() - began) / 1e9;
+  }
+
+  @Test
+  void everyJobEndsOnceWhicheverDirectionFails() throws Exception {
+    try (LoopbackCluster cluster = new LoopbackCluster(dir, CONTROLLERS, true)) {
+      await("each shard with its home", 40, () -> homeOwnsAll(cluster));
+      LoopbackUsers users =
+          new LoopbackUsers(cluster.services().nodes(), cluster.history(), SEED, PACE_MILLIS);
+      Thread thread = new Thread(users, "users");
+      thread.setDaemon(true);
+      thread.start();
+      pause(4);
+
+      answersOfStateLost(cluster, users);
+      flappingWorkers(cluster);
+      restartInACut(cluster);
+
+      users.stop();
+      thread.join(60_000);
+      allWell(cluster);
+      await("an end for every job", 60, () -> allEnded(cluster, users));
+      assertEquals(List.of(), cluster.history().violations(System.nanoTime() / 1000));
+      assertTrue(cluster.history().starts() > 50, "only " + cluster.history().starts());
+    }
+  }
+
+  private static boolean homeOwnsAll(LoopbackCluster cluster) {
+    for (int i = 0; i < CONTROLLERS; i++) {
+      if (!("node-" + i).equals(cluster.owner(i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static void allWell(LoopbackCluster cluster) {
+    for (int i = 0; i < CONTROLLERS; i++) {
+      for (Toward toward : Toward.values()) {
+        cluster.set(stateLink(i), toward, Mode.PASS);
+        cluster.set(workerLink(i), toward, Mode.PASS);
+        for (int j = 0; j < CONTROLLERS; j++) {
+          cluster.set(peerLink(i, j), toward, Mode.PASS);
+        }
+      }
+    }
+  }
+
+  private static boolean allEnded(LoopbackCluster cluster, LoopbackUsers users) {
+    Set<String> open = cluster.history().open();
+    open.forEach(users::poll);
+    return cluster.history().open().isEmpty();
+  }
+
+  /** Requests arrive and answers don't: the shard moves, and users are told why they wait. */
+  private void answersOfStateLost(LoopbackCluster cluster, LoopbackUsers users) throws Exception {
+    cluster.set(stateLink(0), Toward.ANSWERS, Mode.DROP);
+    double after = await("shard 0 moves", 15, () -> !"node-0".equals(cluster.owner(0)));
+    System.out.printf("shard 0 moved %.1f s after the cut%n", after);
+    Optional<HttpResponse<byte[]>> refusal =
+        users.send(
+            cluster.services().nodes().get(0),
+            "GET",
+            "/work/req-unknown",
+            new byte[0],
+            Duration.ofSeconds(3));
+    assertEquals(503, refusal.orElseThrow().statusCode());
+    assertTrue(refusal.get().headers().firstValue("Retry-After").isPresent());
+    String why = new String(refusal.get().body(), StandardCharsets.UTF_8);
+    assertTrue(why.contains("the state service can't be reached: state"), why);
+    String status = status(cluster, 0);
+    assertTrue(status.contains("unreachable"), status);
+    assertTrue(cluster.log(0).contains("authority for shard 0: no new orders after full"));
+    cluster.set(stateLink(0), Toward.ANSWERS, Mode.PASS);
+    await("node-0 serves again", 30, () -> !status(cluster, 0).contains("unreachable"));
+  }
+
+  private static String status(LoopbackCluster cluster, int node) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+    assertEquals(0, new StatusCommand(out, out).run(cluster.statusAddress(node), false));
+    return bytes.toString(StandardCharsets.UTF_8);
+  }
+
+  private static void flappingWorkers(LoopbackCluster cluster) {
+    for (int i = 0; i < 6; i++) {
+      cluster.set(workerLink(1), Toward.ANSWERS, Mode.DROP);
+      pause(1);
+      cluster.set(workerLink(1), Toward.ANSWERS, Mode.PASS);
+      cluster.set(stateLink(2), Toward.REQUESTS, i % 2 == 0 ? Mode.REFUSE : Mode.PASS);
+      pause(1);
+    }
+    cluster.set(stateLink(2), Toward.REQUESTS, Mode.PASS);
+  }
+
+  private static void restartInACut(LoopbackCluster cluster) throws Exception {
+    cluster.set(stateLink(1), Toward.REQUESTS, Mode.DROP);
+    cluster.set(peerLink(1, 2), Toward.REQUESTS, Mode.DROP);
+    pause(5);
+    cluster.kill(1);
+    cluster.set(stateLink(1), Toward.REQUESTS, Mode.PASS);
+    cluster.start(1);
+    pause(8);
+  }
+}
--- /dev/null
+++ b/src/test/java/gladeknot/standin/LoopbackServices.java
@@ -0,0 +1,265 @@
+package gladeknot.standin;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import gladeknot.http.Json;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * A state service, a cloud and its workers behind real sockets on loopback, and settings files for
+ * controllers that are to use them. Every link goes by a name, so that a proxy can stand in it.
+ */
+public final class LoopbackServices {
+  /** How often workers report, how long their lease is, and a cancellation's time. */
+  public static final long REPORT_MICROS = 500_000;
+
+  public static final long LEASE_MICROS = 5_000_000;
+  public static final long CANCEL_MICROS = 20_000_000;
+
+  private static final int MACHINES = 20;
+  private static final long BOOT_MICROS = 1_000_000;
+
+  /** Gives the address under which one end of a link reaches the other. */
+  public interface Links {
+    /** Every link leads to its target directly. */
+    Links DIRECT = (link, target) -> target;
+
+    /** The address to use on a link for a target. */
+    String address(String link, String target);
+  }
+
+  private final StateStandIn state = new StateStandIn();
+  private final CloudStandIn cloud = new CloudStandIn(MACHINES, BOOT_MICROS);
+  private final TreeMap<String, LoopbackWorker> workers = new TreeMap<>();
+  private final ExecutorService threads = Executors.newCachedThreadPool(LoopbackServices::daemon);
+  private final Links links;
+  private final Optional<History> history;
+  private final long taskMicros;
+  private final List<String> nodes = new ArrayList<>();
+  private final List<String> nodesForWorkers = new ArrayList<>();
+  private volatile boolean stopped;
+
+  /** Services whose tasks run for the given time, unless their job is a service. */
+  public LoopbackServices(Links links, Optional<History> history, long taskMicros) {
+    this.links = links;
+    this.history = history;
+    this.taskMicros = taskMicros;
+    history.ifPresent(h -> state.changeListener = h::changed);
+  }
+
+  private static Thread daemon(Runnable run) {
+    Thread thread = new Thread(run);
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  static long now() {
+    return System.nanoTime() / 1000;
+  }
+
+  static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** What answers one request. */
+  interface Service {
+    StateStandIn.Answer serve(String method, String uri, byte[] body) throws IOException;
+  }
+
+  /** Listens on a free port of loopback; returns the address. */
+  String listen(Service service) throws IOException {
+    HttpServer server =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+    server.setExecutor(threads);
+    server.createContext("/", exchange -> handle(exchange, service));
+    server.start();
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  private static void handle(HttpExchange exchange, Service service) throws IOException {
+    byte[] body = exchange.getRequestBody().readAllBytes();
+    String uri = exchange.getRequestURI().toString();
+    StateStandIn.Answer answer = service.serve(exchange.getRequestMethod(), uri, body);
+    byte[] bytes = Json.bytes(answer.body());
+    exchange.sendResponseHeaders(answer.status(), bytes.length);
+    exchange.getResponseBody().write(bytes);
+    exchange.close();
+  }
+
+  private StateStandIn.Answer serveState(String method, String uri, byte[] body)
+      throws IOException {
+    long until = now();
+    if (uri.startsWith("/follow")) {
+      until += Long.parseLong(StateStandIn.query(uri).get("waitMs")) * 1000;
+    }
+    while (true) {
+      synchronized (this) {
+        state.advance(now());
+        boolean wait = uri.startsWith("/follow") && now() < until;
+        if (!wait || state.changedSince(Long.parseLong(StateStandIn.query(uri).get("from")))) {
+          return state.serve(method, uri, body);
+        }
+      }
+      pause(5);
+    }
+  }
+
+  private synchronized StateStandIn.Answer serveCloud(String method, String uri, byte[] body)
+      throws IOException {
+    cloud.advance(now());
+    return cloud.serve(method, uri, body);
+  }
+
+  private void runWorkers() {
+    while (!stopped) {
+      List<LoopbackWorker> all;
+      synchronized (this) {
+        cloud.advance(now());
+        List<CloudStandIn.Machine> up =
+            cloud.machines().stream().filter(m -> m.upMicros <= now()).toList();
+        for (LoopbackWorker worker : List.copyOf(workers.values())) {
+          if (up.stream().noneMatch(m -> m.id.equals(worker.host()))) {
+            workers.remove(worker.host()).shutDown();
+          }
+        }
+        for (CloudStandIn.Machine m : up) {
+          workers.computeIfAbsent(m.id, id -> boot(m));
+        }
+        all = List.copyOf(workers.values());
+        all.forEach(LoopbackWorker::advance);
+      }
+      for (LoopbackWorker worker : all) {
+        worker.reportIfDue(threads);
+      }
+      pause(20);
+    }
+  }
+
+  private LoopbackWorker boot(CloudStandIn.Machine machine) {
+    try {
+      return new LoopbackWorker(this, machine, history, taskMicros);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Where workers reach the controllers. */
+  List<String> nodesForWorkers() {
+    return nodesForWorkers;
+  }
+
+  /** The address under which a controller reaches a worker. */
+  String workerAddress(int node, String address) {
+    return links.address("node-" + node + ">workers", address);
+  }
+
+  /** Where users reach the controllers. */
+  public List<String> nodes() {
+    return List.copyOf(nodes);
+  }
+
+  /** The value of a key of the state service; null if there is none. */
+  public synchronized java.util.Map<String, Object> stateOf(String key) {
+    return state.get(key);
+  }
+
+  /** Ends the workers; the listeners end with the process. */
+  public void stop() {
+    stopped = true;
+  }
+
+  /** A port of loopback that nobody listens on. */
+  static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  /** Starts the services and writes settings for so many controllers into a folder. */
+  public void start(Path dir, int count) throws IOException {
+    String stateAddress = listen(this::serveState);
+    String cloudAddress = listen(this::serveCloud);
+    List<String> peers = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      nodes.add("127.0.0.1:" + freePort());
+      nodesForWorkers.add(links.address("workers>node-" + i, nodes.get(i)));
+      peers.add("127.0.0.1:" + freePort());
+    }
+    Files.createDirectories(dir);
+    for (int i = 0; i < count; i++) {
+      String self = "node-" + i;
+      StringBuilder text = new StringBuilder();
+      text.append("node_name = \"" + self + "\"\ndomain = \"a\"\n");
+      text.append("client_listen = \"" + nodes.get(i) + "\"\n");
+      text.append("back = \"" + peers.get(i) + "\"\n");
+      for (int j = 0; j < count; j++) {
+        if (j != i) {
+          String address = links.address(self + ">node-" + j, peers.get(j));
+          text.append("[[members]]\nnode_name = \"node-" + j + "\"\ndomain = \"a\"\n");
+          text.append("addr = \"" + address + "\"\n");
+        }
+      }
+      text.append("[external]\n");
+      text.append("cloud = \"" + links.address(self + ">cloud", cloudAddress) + "\"\n");
+      text.append("state = \"" + links.address(self + ">state", stateAddress) + "\"\n");
+      text.append(CLUSTER);
+      Files.writeString(dir.resolve(self + ".toml"), text);
+    }
+    threads.execute(this::runWorkers);
+  }
+
+  private static final String CLUSTER =
+      """
+      [cluster]
+      initial_size = 3
+      zones = ["a", "b"]
+      clock_error_ms = 100.0
+      [[cluster.teams]]
+      name = "dev"
+      cpus = 8.0
+      cpus_max = 40.0
+      gpus = 0.0
+      gpus_max = 0.0
+      [[cluster.objectives]]
+      kind = "wait"
+      class = "web"
+      within_s = 5.0
+      share = 0.9
+      [[cluster.objectives]]
+      kind = "deadline"
+      class = "batch"
+      share = 0.9
+      times = 1.0
+      [cluster.workers]
+      report_s = 0.5
+      lease_s = 5.0
+      gang_wait_s = 30.0
+      gang_peer_s = 6.0
+      cancel_s = 20.0
+      [cluster.state]
+      rps = 200.0
+      write_rps = 80.0
+      value_kb = 8.0
+      txn_ops = 12
+      [cluster.cloud]
+      rps = 6.0
+      list_lag_s = 5.0
+      [cluster.machine_limits]
+      max_connections = 500
+      """;
+}
--- /dev/null
+++ b/src/test/java/gladeknot/standin/LoopbackWorker.java
@@ -0,0 +1,164 @@
+package gladeknot.standin;
+
+import gladeknot.http.Json;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+
+/** One worker behind a real socket: one report in flight, to one controller at a time. */
+final class LoopbackWorker {
+  private static final Duration ANSWER_WAIT = Duration.ofSeconds(4);
+  private static final long NEXT_NODE_MICROS = 1_000_000;
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+
+  private final LoopbackServices services;
+  private final WorkerStandIn worker;
+  private final String address;
+  private int node;
+  private boolean inFlight;
+  private boolean off;
+  private long nextMicros;
+
+  LoopbackWorker(
+      LoopbackServices services,
+      CloudStandIn.Machine machine,
+      Optional<History> history,
+      long taskMicros)
+      throws IOException {
+    this.services = services;
+    this.address = services.listen(this::serve);
+    this.worker =
+        new WorkerStandIn(
+            machine,
+            address,
+            LoopbackServices.LEASE_MICROS,
+            task -> task.startsWith("req-web") ? Long.MAX_VALUE / 4 : taskMicros,
+            LoopbackServices.now());
+    history.ifPresent(h -> worker.taskListener = listener(h));
+    node = Math.floorMod(machine.id.hashCode(), services.nodesForWorkers().size());
+  }
+
+  private static WorkerStandIn.TaskListener listener(History history) {
+    return new WorkerStandIn.TaskListener() {
+      @Override
+      public void started(String host, String task, long number, long micros) {
+        history.started(host, task, number, micros);
+      }
+
+      @Override
+      public void ended(String host, String task, long number, boolean done, long micros) {
+        history.ended(host, task, number, done, micros);
+      }
+    };
+  }
+
+  String host() {
+    return worker.host();
+  }
+
+  synchronized void advance() {
+    if (!off) {
+      worker.advance(LoopbackServices.now());
+    }
+  }
+
+  /** The cloud has taken the machine, with all that is on it. */
+  synchronized void shutDown() {
+    off = true;
+    for (WorkerStandIn.Task t : worker.live()) {
+      worker.taskListener.ended(host(), t.name, t.number, false, LoopbackServices.now());
+    }
+  }
+
+  private synchronized StateStandIn.Answer serve(String method, String uri, byte[] body)
+      throws IOException {
+    if (off) {
+      throw new IOException("the machine is off");
+    }
+    worker.advance(LoopbackServices.now());
+    return uri.equals("/status")
+        ? new StateStandIn.Answer(200, worker.report())
+        : worker.orders(Json.object(body));
+  }
+
+  /** Sends a report if one is due and none is on its way. */
+  synchronized void reportIfDue(Executor threads) {
+    if (off || inFlight || LoopbackServices.now() < nextMicros) {
+      return;
+    }
+    inFlight = true;
+    threads.execute(this::report);
+  }
+
+  private void report() {
+    int to;
+    long sent;
+    long tenure;
+    Map<String, Object> report;
+    synchronized (this) {
+      to = node;
+      sent = LoopbackServices.now();
+      worker.advance(sent);
+      tenure = worker.tenure();
+      report = worker.report();
+    }
+    report.put("endpoint", services.workerAddress(to, address));
+    Optional<HttpResponse<byte[]>> reply = send(to, Json.bytes(report));
+    synchronized (this) {
+      inFlight = false;
+      nextMicros = sent + LoopbackServices.REPORT_MICROS;
+      if (!off) {
+        taken(to, reply, sent, tenure);
+      }
+    }
+  }
+
+  private Optional<HttpResponse<byte[]>> send(int to, byte[] body) {
+    URI uri = URI.create("http://" + services.nodesForWorkers().get(to) + "/hello");
+    HttpRequest request =
+        HttpRequest.newBuilder(uri)
+            .timeout(ANSWER_WAIT)
+            .POST(HttpRequest.BodyPublishers.ofByteArray(body))
+            .build();
+    try {
+      return Optional.of(CLIENT.send(request, HttpResponse.BodyHandlers.ofByteArray()));
+    } catch (IOException e) {
+      return Optional.empty();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Optional.empty();
+    }
+  }
+
+  private void taken(int to, Optional<HttpResponse<byte[]>> reply, long sent, long tenure) {
+    try {
+      int status = reply.map(HttpResponse::statusCode).orElse(0);
+      Map<String, Object> body = status == 0 ? Map.of() : Json.object(reply.get().body());
+      String foreman = status == 421 ? Json.text(body, "foreman") : null;
+      if (status == 200) {
+        worker.answered(body, sent, tenure);
+      } else if (foreman != null && !foreman.equals("node-" + to)) {
+        node = Integer.parseInt(foreman.substring("node-".length()));
+        nextMicros = LoopbackServices.now();
+      } else {
+        nextNode(to);
+      }
+    } catch (IOException e) {
+      nextNode(to);
+    }
+  }
+
+  private void nextNode(int from) {
+    List<String> all = services.nodesForWorkers();
+    node = (from + 1) % all.size();
+    nextMicros = LoopbackServices.now() + NEXT_NODE_MICROS;
+  }
+}
--- a/src/test/java/gladeknot/standin/StateStandIn.java
+++ b/src/test/java/gladeknot/standin/StateStandIn.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 
 /** The state service as its page describes it, in memory, driven by the time that it is told. */
 public final class StateStandIn {
@@ -29,6 +30,9 @@
 
   public int mostValueBytes = 8192;
 
+  /** Hears of each change as it is carried out. */
+  public BiConsumer<String, Map<String, Object>> changeListener = (key, data) -> {};
+
   /** Transactions that were refused for their size. */
   public int tooLarge;
 
@@ -76,6 +80,7 @@
       keys.put(key, new Value(data, epoch, grant));
     }
     changes.add(new Change(key, data, epoch));
+    changeListener.accept(key, data);
   }
 
   /** The value of a key; null if there is none. */
--- a/src/test/java/gladeknot/standin/WorkerStandIn.java
+++ b/src/test/java/gladeknot/standin/WorkerStandIn.java
@@ -23,6 +23,25 @@
     }
   }
 
+  /** Hears of each attempt that begins or ends here. */
+  public interface TaskListener {
+    /** An attempt begins. */
+    void started(String host, String task, long number, long micros);
+
+    /** An attempt has ended; it has completed its task, or was ended. */
+    void ended(String host, String task, long number, boolean done, long micros);
+  }
+
+  /** Who hears of attempts; nobody at first. */
+  public TaskListener taskListener =
+      new TaskListener() {
+        @Override
+        public void started(String host, String task, long number, long micros) {}
+
+        @Override
+        public void ended(String host, String task, long number, boolean done, long micros) {}
+      };
+
   private final CloudStandIn.Machine machine;
   private final String endpoint;
   private final long leaseMicros;
@@ -80,6 +99,7 @@
   public void advance(long now) {
     nowMicros = now;
     if (now - renewedMicros > leaseMicros) {
+      live().forEach(t -> ended(t, false));
       tasks.clear();
       tenure++;
       renewedMicros = now;
@@ -89,10 +109,15 @@
         t.phase = "ended";
         t.cause = "done";
         finished.add(t.name);
+        ended(t, true);
       }
     }
   }
 
+  private void ended(Task t, boolean done) {
+    taskListener.ended(machine.id, t.name, t.number, done, nowMicros);
+  }
+
   /** Tasks that have completed here since it was asked last. */
   public List<String> finished() {
     if (finished.isEmpty()) {
@@ -185,12 +210,14 @@
           started.endsMicros = nowMicros + runMicros.applyAsLong(name);
           tasks.put(name, started);
           starts.add(name + " " + number);
+          taskListener.started(machine.id, name, number, nowMicros);
         }
       }
       case "kill" -> {
         if (t != null && t.number == number && !t.phase.equals("ended")) {
           t.phase = "ended";
           t.cause = "halted";
+          ended(t, false);
         }
       }
       default -> {
