Tests: a team over its limit after a failover, reproduced; checkers see every team, CPUs and GPUs

Cause: quota is free once an end is observed, not once it is committed; a start that uses it can be committed first. If the owner ends in between, or a delegate has renewed the lease, both run. Change: ExecutionChecker and RecoveryChecker count each team's CPUs and GPUs by its jobs (before: one team, tasks of one CPU); StoredQuotaChecker compares recorded attempts with the shards' shares after each transaction.

--- a/src/test/java/gladeknot/standin/ClusterScale.java
+++ b/src/test/java/gladeknot/standin/ClusterScale.java
@@ -1,10 +1,14 @@
 package gladeknot.standin;
 
+import gladeknot.settings.Settings;
+import java.util.List;
+
 /**
  * The size of a simulated cluster.
  *
  * @param machines how many machines the cloud rents out at most
- * @param teamCpus the limit of the one team, in thousandths of a CPU; 0 for none
+ * @param machineGpus how many GPUs each machine has
+ * @param teams the teams with their limits, amounts in thousandths; a limit of 0 is none
  * @param stateRps requests a second that the state service takes
  * @param writeRps transactions a second that the state service takes
  * @param valueBytes largest value that the state service takes
@@ -13,7 +17,8 @@
  */
 public record ClusterScale(
     int machines,
-    long teamCpus,
+    int machineGpus,
+    List<Settings.Team> teams,
     double stateRps,
     double writeRps,
     int valueBytes,
@@ -29,6 +34,26 @@
   /** The scale of most tests: twelve machines. */
   public static final ClusterScale SMALL = new ClusterScale(12, TEAM_CPUS, 300, 150);
 
+  /** A scale with one team, machines without GPUs, and limits to come of the state service. */
+  public ClusterScale(
+      int machines,
+      long teamCpus,
+      double stateRps,
+      double writeRps,
+      int valueBytes,
+      int nextValueBytes,
+      int nextOperations) {
+    this(
+        machines,
+        0,
+        List.of(new Settings.Team("dev", teamCpus / 3, teamCpus, 0, 0)),
+        stateRps,
+        writeRps,
+        valueBytes,
+        nextValueBytes,
+        nextOperations);
+  }
+
   /** A scale whose limits of the state service stay as they are. */
   public ClusterScale(
       int machines, long teamCpus, double stateRps, double writeRps, int valueBytes) {
@@ -40,8 +65,29 @@
     this(machines, teamCpus, stateRps, writeRps, VALUE_BYTES);
   }
 
-  /** Whether so many one-CPU tasks are more than the team may run. */
-  boolean exceedsTeamLimit(long tasks) {
-    return teamCpus > 0 && tasks * 1000 > teamCpus;
+  /** The scale of most tests with other teams, on machines with so many GPUs. */
+  public static ClusterScale withTeams(int machines, int machineGpus, Settings.Team... teams) {
+    return new ClusterScale(
+        machines,
+        machineGpus,
+        List.of(teams),
+        SMALL.stateRps,
+        SMALL.writeRps,
+        VALUE_BYTES,
+        VALUE_BYTES,
+        OPERATIONS);
+  }
+
+  /** The same with other limits of the teams, as after a change of the settings. */
+  public ClusterScale withLimits(Settings.Team... changed) {
+    return new ClusterScale(
+        machines,
+        machineGpus,
+        List.of(changed),
+        stateRps,
+        writeRps,
+        valueBytes,
+        nextValueBytes,
+        nextOperations);
   }
 }
--- a/src/test/java/gladeknot/standin/ClusterSettings.java
+++ b/src/test/java/gladeknot/standin/ClusterSettings.java
@@ -5,6 +5,8 @@
 import gladeknot.settings.ObjectiveKind;
 import gladeknot.settings.Settings;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -33,7 +35,7 @@
         "state:1",
         List.of("a", "b"),
         0,
-        Map.of("dev", new Settings.Team("dev", scale.teamCpus() / 3, scale.teamCpus(), 0, 0)),
+        teams(scale),
         List.of(
             new Settings.Objective(ObjectiveKind.DEADLINE, "batch", 0, 0.9, 1),
             new Settings.Objective(ObjectiveKind.DEADLINE, "batch", 0, 0.95, 1.5),
@@ -47,6 +49,12 @@
         500);
   }
 
+  private static Map<String, Settings.Team> teams(ClusterScale scale) {
+    Map<String, Settings.Team> teams = new LinkedHashMap<>();
+    scale.teams().forEach(team -> teams.put(team.name(), team));
+    return Collections.unmodifiableMap(teams);
+  }
+
   private static List<Settings.Member> otherMembers(int node, int count) {
     List<Settings.Member> members = new ArrayList<>();
     for (int i = 0; i < count; i++) {
--- a/src/test/java/gladeknot/standin/ExecutionChecker.java
+++ b/src/test/java/gladeknot/standin/ExecutionChecker.java
@@ -2,6 +2,7 @@
 
 import static gladeknot.standin.SimulatedClock.SECOND;
 
+import gladeknot.settings.Settings;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -42,7 +43,7 @@
   /** Checks all machines. */
   void check() {
     Map<String, String> hostsByTask = new HashMap<>();
-    int running = 0;
+    Map<String, ResourceUse> usageByTeam = new HashMap<>();
     for (SimulatedMachine machine : machines.all()) {
       machine.worker().finished().forEach(jobs::taskDone);
       if (machine.isDead()) {
@@ -54,12 +55,18 @@
         continue;
       }
       for (FakeWorker.Task task : machine.worker().live()) {
-        running++;
+        jobs.ofTask(task.name())
+            .ifPresent(job -> usageByTeam.merge(job.team(), job.taskUse(), ResourceUse::plus));
         checkTask(machine.host(), task.name(), hostsByTask);
       }
     }
-    if (scale.exceedsTeamLimit(running)) {
-      violations.add("quota: " + running + " CPUs");
+    scale.teams().forEach(team -> checkLimit(team, usageByTeam));
+  }
+
+  private void checkLimit(Settings.Team team, Map<String, ResourceUse> usageByTeam) {
+    ResourceUse usage = usageByTeam.getOrDefault(team.name(), ResourceUse.NONE);
+    if (usage.exceeds(team)) {
+      violations.add("quota: " + team.name() + " uses " + usage);
     }
   }
 
--- a/src/test/java/gladeknot/standin/FakeCloud.java
+++ b/src/test/java/gladeknot/standin/FakeCloud.java
@@ -21,6 +21,7 @@
   private final Map<String, List<String>> rentals = new HashMap<>();
 
   private final int capacity;
+  private final int gpus;
   private final long bootMicros;
   private long nowMicros;
   private int nextMachine = 1;
@@ -28,7 +29,13 @@
 
   /** A cloud of at most so many machines, each up after the given time. */
   public FakeCloud(int capacity, long bootMicros) {
+    this(capacity, 0, bootMicros);
+  }
+
+  /** The same with machines that have so many GPUs each. */
+  public FakeCloud(int capacity, int gpus, long bootMicros) {
     this.capacity = capacity;
+    this.gpus = gpus;
     this.bootMicros = bootMicros;
   }
 
@@ -79,7 +86,8 @@
   }
 
   private Map<String, Object> machineType() {
-    Map<String, Object> type = Json.of("label", "small", "cores", 4.0, "accelerators", 0.0);
+    Map<String, Object> type =
+        Json.of("label", "small", "cores", 4.0, "accelerators", (double) gpus);
     type.put("memoryGb", 16.0);
     type.put("cacheGb", 40.0);
     type.put("fetchGbPerS", 1.0);
--- a/src/test/java/gladeknot/standin/FakeStateStore.java
+++ b/src/test/java/gladeknot/standin/FakeStateStore.java
@@ -14,6 +14,9 @@
   public interface ChangeListener {
     /** A key has a new value; null if it was deleted. */
     void changed(String key, Map<String, Object> value);
+
+    /** All changes of a transaction have been notified. */
+    default void transactionCommitted() {}
   }
 
   private static final int VALUE_BYTES = 8192;
@@ -264,6 +267,7 @@
       epoch++;
       commits++;
       changed.forEach(this::apply);
+      changeListener.transactionCommitted();
     }
     return new ServiceResponse(200, Json.of("epoch", epoch));
   }
--- a/src/test/java/gladeknot/standin/ObservedJob.java
+++ b/src/test/java/gladeknot/standin/ObservedJob.java
@@ -13,6 +13,8 @@
   private static final String CANCELLED = "withdrawn";
 
   private final String id;
+  private final String team;
+  private final ResourceUse taskUse;
   private final int tasks;
   private final boolean gang;
   private final boolean spread;
@@ -26,6 +28,9 @@
 
   ObservedJob(Map<String, Object> submitted) {
     id = Json.text(submitted, "id");
+    team = Json.text(submitted, "owner");
+    taskUse =
+        ResourceUse.of(Json.real(submitted, "cores", 0), Json.real(submitted, "accelerators", 0));
     tasks = (int) Json.num(submitted, "strands", 0);
     gang = "ensemble".equals(submitted.get("shape"));
     spread = Json.flag(submitted, "scatter");
@@ -37,6 +42,15 @@
     return id;
   }
 
+  String team() {
+    return team;
+  }
+
+  /** What one of its tasks uses. */
+  ResourceUse taskUse() {
+    return taskUse;
+  }
+
   int tasks() {
     return tasks;
   }
--- a/src/test/java/gladeknot/standin/RecoveryChecker.java
+++ b/src/test/java/gladeknot/standin/RecoveryChecker.java
@@ -3,6 +3,7 @@
 import static gladeknot.standin.SimulatedClock.SECOND;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 
@@ -12,6 +13,8 @@
   private static final long LEFT_WAITING = 90 * SECOND;
   private static final long MACHINE_CPUS = 4;
 
+  private static final ResourceUse UNKNOWN_TASK = ResourceUse.of(1, 0);
+
   private final SimulatedClock clock;
   private final SimulatedMachines machines;
   private final ObservedJobs jobs;
@@ -20,12 +23,12 @@
   private final Violations violations;
   private OptionalLong faultsEnded = OptionalLong.empty();
 
-  /** What the machines have free by zone, and where a job's tasks are. */
+  /** For how many tasks of a job there is room by zone, and where those that run are. */
   private static final class Placement {
-    private final Map<String, Long> freeCpus = new TreeMap<>();
+    private final Map<String, Long> freePlaces = new TreeMap<>();
     private final Map<String, Long> tasksOfJob = new TreeMap<>();
     private long runningOfJob;
-    private long running;
+    private ResourceUse usageOfTeam = ResourceUse.NONE;
   }
 
   RecoveryChecker(
@@ -80,11 +83,12 @@
     Placement placement = placement(job);
     long waiting = job.tasks() - job.doneTasks() - placement.runningOfJob;
     long needed = job.isGang() ? job.tasks() : 1;
-    if (waiting < needed || scale.exceedsTeamLimit(placement.running + needed)) {
+    ResourceUse usage = placement.usageOfTeam.plus(job.taskUse().times(needed));
+    if (waiting < needed || exceedsLimit(job.team(), usage)) {
       return false;
     }
     long free = 0;
-    for (Map.Entry<String, Long> zone : placement.freeCpus.entrySet()) {
+    for (Map.Entry<String, Long> zone : placement.freePlaces.entrySet()) {
       if (job.allowsZone(zone.getKey(), placement.tasksOfJob.get(zone.getKey()))) {
         free = job.isColocated() ? Math.max(free, zone.getValue()) : free + zone.getValue();
       }
@@ -92,20 +96,30 @@
     return free >= needed;
   }
 
+  private boolean exceedsLimit(String team, ResourceUse usage) {
+    return scale.teams().stream()
+        .anyMatch(limits -> limits.name().equals(team) && usage.exceeds(limits));
+  }
+
   private Placement placement(ObservedJob job) {
     Placement placement = new Placement();
     for (SimulatedMachine machine : machines.all()) {
-      int tasks = 0;
+      ResourceUse free = ResourceUse.of(MACHINE_CPUS, scale.machineGpus());
       long ofJob = 0;
       for (FakeWorker.Task task : machine.liveTasks()) {
-        tasks++;
+        Optional<ObservedJob> owner = jobs.ofTask(task.name());
+        ResourceUse use = owner.map(ObservedJob::taskUse).orElse(UNKNOWN_TASK);
+        free = free.minus(use);
         ofJob += task.name().startsWith(job.id() + "/") ? 1 : 0;
+        if (owner.isPresent() && owner.get().team().equals(job.team())) {
+          placement.usageOfTeam = placement.usageOfTeam.plus(use);
+        }
       }
       placement.runningOfJob += ofJob;
-      placement.running += tasks;
       placement.tasksOfJob.merge(machine.zone(), ofJob, Long::sum);
       if (machine.isUsable()) {
-        placement.freeCpus.merge(machine.zone(), MACHINE_CPUS - tasks, Long::sum);
+        placement.freePlaces.merge(
+            machine.zone(), Math.max(0, free.fits(job.taskUse())), Long::sum);
       }
     }
     return placement;
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -3,6 +3,7 @@
 import gladeknot.json.Json;
 import gladeknot.outbox.Outbox;
 import gladeknot.settings.Features;
+import gladeknot.tasks.RecordedAttempts;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,7 @@
   private final ClusterScale scale;
   private final SimulatedClock clock = new SimulatedClock();
   private final Violations violations = new Violations();
+  private final Violations recordedQuotaViolations = new Violations();
   private final FaultInjection faults = new FaultInjection(state);
   private final TaskDurations durations = new TaskDurations();
   private final ObservedJobs jobs = new ObservedJobs();
@@ -40,6 +42,7 @@
   private final ExecutionChecker executionChecker;
   private final RecoveryChecker recoveryChecker;
   private final ReturnedMachinesChecker returnedMachinesChecker;
+  private final StoredQuotaChecker storedQuotaChecker;
 
   /** A small cluster of so many controllers, all just started. */
   public SimulatedCluster(int count, long seed) {
@@ -56,7 +59,7 @@
     SplittableRandom random = new SplittableRandom(seed);
     this.scale = scale;
     state.limitValueBytes(scale.valueBytes());
-    cloud = new FakeCloud(scale.machines(), BOOT_MICROS);
+    cloud = new FakeCloud(scale.machines(), scale.machineGpus(), BOOT_MICROS);
     machines = new SimulatedMachines(clock, random, cloud, durations, count);
     network = new SimulatedNetwork(clock, random, faults, state, cloud, machines, violations);
     controllers =
@@ -76,6 +79,8 @@
     executionChecker = new ExecutionChecker(clock, machines, jobs, faults, scale, violations);
     recoveryChecker = new RecoveryChecker(clock, machines, jobs, users, scale, violations);
     returnedMachinesChecker = new ReturnedMachinesChecker(state, violations);
+    storedQuotaChecker = new StoredQuotaChecker(scale.teams(), count, recordedQuotaViolations::add);
+    state.setChangeListener(storedQuotaChecker);
     controllers.startAll(count);
   }
 
@@ -116,6 +121,11 @@
     return violations.list();
   }
 
+  /** Where records use more of a team's limit than their shard's share, or shares more than it. */
+  public List<String> recordedQuotaViolations() {
+    return recordedQuotaViolations.list();
+  }
+
   /** Faults of the network and the state service. */
   public FaultInjection faults() {
     return faults;
@@ -280,6 +290,22 @@
     return hosts;
   }
 
+  /** The CPUs that the attempts recorded in a shard use for a team, in thousandths. */
+  public long recordedCpus(String team, int shard) {
+    return storedQuotaChecker.recordedUsage(team, shard).cpus();
+  }
+
+  /** Whether a committed record of a shard holds an attempt of a job. */
+  public boolean hasRecordedAttempt(String job, int shard) {
+    for (String key : state.keys("g/sl/" + shard + "/")) {
+      String record = Json.text(state.get(key), job);
+      if (record != null && !RecordedAttempts.of(job, record).isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** How many tasks are on machines. */
   public int tasksOnMachines() {
     int count = 0;
--- /dev/null
+++ b/src/test/java/gladeknot/standin/StoredQuotaChecker.java
@@ -0,0 +1,150 @@
+package gladeknot.standin;
+
+import gladeknot.settings.Settings;
+import gladeknot.tasks.RecordedAttempts;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Checks after each transaction what the state service holds: the attempts recorded in a shard use
+ * no more of a team's limit than the shard's share, and the shares together are no more than the
+ * limit. A recorded attempt counts until its end is committed, since the owner of its shard may
+ * start it again until then.
+ */
+final class StoredQuotaChecker implements FakeStateStore.ChangeListener {
+  private static final String TEAMS = "g/team/";
+  private static final String SEGMENTS = "g/sl/";
+  private static final int TEAM_FIELD = 0;
+  private static final int CPUS_FIELD = 1;
+  private static final int GPUS_FIELD = 2;
+
+  private final List<Settings.Team> teams;
+  private final int shards;
+  private final Consumer<String> violations;
+
+  /** What the attempts of each segment use, by team. */
+  private final Map<String, Map<String, ResourceUse>> usageBySegment = new TreeMap<>();
+
+  private final Map<String, List<ResourceUse>> sharesByTeam = new HashMap<>();
+  private boolean changed;
+
+  StoredQuotaChecker(List<Settings.Team> teams, int shards, Consumer<String> violations) {
+    this.teams = teams;
+    this.shards = shards;
+    this.violations = violations;
+  }
+
+  @Override
+  public void changed(String key, Map<String, Object> value) {
+    if (key.startsWith(SEGMENTS)) {
+      usageBySegment.put(key, value == null ? Map.of() : usage(value));
+      changed = true;
+    } else if (key.startsWith(TEAMS) && value != null) {
+      sharesChanged(key.substring(TEAMS.length()), shares(value));
+      changed = true;
+    }
+  }
+
+  private static Map<String, ResourceUse> usage(Map<String, Object> segment) {
+    Map<String, ResourceUse> usage = new HashMap<>();
+    segment.forEach(
+        (job, value) -> {
+          String record = String.valueOf(value);
+          String[] fields = record.split("\\|", -1);
+          ResourceUse task =
+              new ResourceUse(
+                  Long.parseLong(fields[CPUS_FIELD]), Long.parseLong(fields[GPUS_FIELD]));
+          int attempts = RecordedAttempts.of(job, record).size();
+          usage.merge(fields[TEAM_FIELD], task.times(attempts), ResourceUse::plus);
+        });
+    return usage;
+  }
+
+  private List<ResourceUse> shares(Map<String, Object> record) {
+    List<ResourceUse> shares = new ArrayList<>();
+    for (int shard = 0; shard < shards; shard++) {
+      shares.add(new ResourceUse(amount(record, "c", shard), amount(record, "g", shard)));
+    }
+    return shares;
+  }
+
+  private static long amount(Map<String, Object> record, String field, int shard) {
+    return record.get(field) instanceof List<?> amounts
+            && shard < amounts.size()
+            && amounts.get(shard) instanceof Number amount
+        ? Math.max(0, amount.longValue())
+        : 0;
+  }
+
+  /** After a limit was lowered the sum is above it for a while, and only gets smaller. */
+  private void sharesChanged(String team, List<ResourceUse> shares) {
+    List<ResourceUse> before = sharesByTeam.put(team, shares);
+    ResourceUse sum = sum(shares);
+    boolean smaller =
+        before != null
+            && sum.cpus() <= sum(before).cpus()
+            && sum.gpus() <= sum(before).gpus()
+            && !sum.equals(sum(before));
+    for (Settings.Team limits : teams) {
+      if (limits.name().equals(team) && sum.exceeds(limits) && !smaller) {
+        violations.accept("quota: shares of " + team + " add up to " + sum);
+      }
+    }
+  }
+
+  private static ResourceUse sum(List<ResourceUse> shares) {
+    return shares.stream().reduce(ResourceUse.NONE, ResourceUse::plus);
+  }
+
+  @Override
+  public void transactionCommitted() {
+    if (!changed) {
+      return;
+    }
+    changed = false;
+    for (Settings.Team team : teams) {
+      for (int shard = 0; shard < shards; shard++) {
+        checkShare(team, shard);
+      }
+    }
+  }
+
+  private void checkShare(Settings.Team team, int shard) {
+    ResourceUse used = recordedUsage(team.name(), shard);
+    ResourceUse share = share(team.name(), shard);
+    boolean exceeded =
+        (team.limitsCpus() && used.cpus() > share.cpus())
+            || (team.limitsGpus() && used.gpus() > share.gpus());
+    if (exceeded) {
+      violations.accept(
+          "quota: records of shard "
+              + shard
+              + " use "
+              + used
+              + " of "
+              + team.name()
+              + "'s "
+              + share);
+    }
+  }
+
+  /** What the attempts recorded in a shard use for a team. */
+  ResourceUse recordedUsage(String team, int shard) {
+    ResourceUse used = ResourceUse.NONE;
+    for (Map.Entry<String, Map<String, ResourceUse>> segment : usageBySegment.entrySet()) {
+      if (segment.getKey().startsWith(SEGMENTS + shard + "/")) {
+        used = used.plus(segment.getValue().getOrDefault(team, ResourceUse.NONE));
+      }
+    }
+    return used;
+  }
+
+  private ResourceUse share(String team, int shard) {
+    List<ResourceUse> shares = sharesByTeam.get(team);
+    return shares == null ? ResourceUse.NONE : shares.get(shard);
+  }
+}
