Soak on real processes: seeded faults that overlap, users at all nodes, quota checked from outside

Change: LoopbackSoak with LoopbackFaults extends the loopback parts: processes killed, suspended and started again, links that drop, delay or lose one direction, a state service that refuses one or all, loses answers or carries out late, machines that freeze, are cut or receive nothing, late copies and commands. History works out from the machines' own times what ran at once, checks each team's CPUs and GPUs, the stored shares and accepted jobs that are denied. ShareCorrection in shorter steps; the usage is worked out only where a share may change.

--- a/src/main/java/gladeknot/quota/QuotaAllocator.java
+++ b/src/main/java/gladeknot/quota/QuotaAllocator.java
@@ -60,7 +60,7 @@
     this.correction = new ShareCorrection(membership, ledger, changes, deficits, counters);
   }
 
-  /** What a shard's tasks of a team use; every task that may still be on a machine counts. */
+  /** What a shard's tasks of a team use; a task counts until its end is committed. */
   public ResourceAmount usage(String team, int shard) {
     return ledger.usage(team, shard);
   }
@@ -75,7 +75,10 @@
     return ledger.clusterHeadroom(team);
   }
 
-  /** Counts that a start of a former owner was not repeated, as the shard's share is exceeded. */
+  /**
+   * Whether a start that a former owner of a shard committed is not to be repeated, as the tasks
+   * that may be on machines exceed the share; counts that.
+   */
   public boolean withholdsRestart(String team, int shard) {
     boolean exceeded = ledger.isExceeded(team, shard);
     if (exceeded) {
--- a/src/main/java/gladeknot/quota/ShareCorrection.java
+++ b/src/main/java/gladeknot/quota/ShareCorrection.java
@@ -45,29 +45,47 @@
     String name = team.name();
     if (!record.isProven(shard)) {
       ResourceAmount used = limited(team, ledger.usage(name, shard));
-      log("prove", name, shard, record, used);
+      note("prove", name, shard, record, used);
       changes.prove(name, shard, record.with(shard, used));
       return true;
     }
     if (!record.isProven()) {
       return false;
     }
-    ResourceAmount limit = new ResourceAmount(team.cpusMax(), team.gpusMax());
-    ResourceAmount excess = limited(team, record.sum().minus(limit)).atLeastZero();
+    return shrink(team, shard, record) || grow(team, shard, record);
+  }
+
+  /** Takes from a share what the shares have beyond the limit and the shard does not use. */
+  private boolean shrink(Settings.Team team, int shard, QuotaRecord record) {
+    ResourceAmount excess = limited(team, record.sum().minus(limit(team))).atLeastZero();
+    if (!excess.isPositive()) {
+      return false;
+    }
+    String name = team.name();
     ResourceAmount released = excess.min(ledger.unused(name, shard)).atLeastZero();
-    if (released.isPositive()) {
-      log("shrink", name, shard, record, released);
-      changes.shrink(
-          name, shard, record.with(shard, record.share(shard).minus(released)), released);
-      return true;
+    if (!released.isPositive()) {
+      return false;
     }
-    ResourceAmount taken = missing(name, shard).min(unassigned(team, shard, record));
-    if (taken.isPositive()) {
-      log("grow", name, shard, record, taken);
-      changes.grow(name, shard, record.with(shard, record.share(shard).plus(taken)));
-      return true;
+    note("shrink", name, shard, record, released);
+    QuotaRecord shrunk = record.with(shard, record.share(shard).minus(released));
+    changes.shrink(name, shard, shrunk, released);
+    return true;
+  }
+
+  /** Adds to a share what it lacks and no shard has. */
+  private boolean grow(Settings.Team team, int shard, QuotaRecord record) {
+    ResourceAmount unassigned = unassigned(team, shard, record);
+    if (!unassigned.isPositive()) {
+      return false;
+    }
+    String name = team.name();
+    ResourceAmount taken = missing(name, shard).min(unassigned);
+    if (!taken.isPositive()) {
+      return false;
     }
-    return false;
+    note("grow", name, shard, record, taken);
+    changes.grow(name, shard, record.with(shard, record.share(shard).plus(taken)));
+    return true;
   }
 
   /** What a shard's share lacks for what it uses already, or else for tasks that wait. */
@@ -78,8 +96,7 @@
 
   /** What neither the shares have nor, by their records, the tasks of other shards use. */
   private ResourceAmount unassigned(Settings.Team team, int shard, QuotaRecord record) {
-    ResourceAmount limit = new ResourceAmount(team.cpusMax(), team.gpusMax());
-    ResourceAmount left = limit.minus(record.sum());
+    ResourceAmount left = limit(team).minus(record.sum());
     if (!limited(team, left).isPositive()) {
       return ResourceAmount.NONE;
     }
@@ -92,13 +109,19 @@
     return limited(team, left).atLeastZero();
   }
 
+  private static ResourceAmount limit(Settings.Team team) {
+    return new ResourceAmount(team.cpusMax(), team.gpusMax());
+  }
+
   /** The part of an amount that the team has a limit of. */
   static ResourceAmount limited(Settings.Team team, ResourceAmount amount) {
     return new ResourceAmount(
         team.limitsCpus() ? amount.cpus() : 0, team.limitsGpus() ? amount.gpus() : 0);
   }
 
-  private void log(String kind, String team, int shard, QuotaRecord record, ResourceAmount amount) {
+  /** Counts and logs a correction. */
+  private void note(
+      String kind, String team, int shard, QuotaRecord record, ResourceAmount amount) {
     counters.count(QuotaCounters.Event.CORRECTIONS);
     LOG.info(
         "quota share corrected kind={} team={} shard={} term={} cpus={} gpus={} sum_cpus={}"
--- a/src/test/java/gladeknot/standin/FakeStateStore.java
+++ b/src/test/java/gladeknot/standin/FakeStateStore.java
@@ -95,6 +95,11 @@
     }
   }
 
+  /** Sets the time without ending leases. */
+  void setTime(long now) {
+    nowMicros = now;
+  }
+
   /** All leases get their full time again, as after an outage. */
   public void renewAll() {
     leases.values().forEach(lease -> lease.renew(nowMicros));
--- a/src/test/java/gladeknot/standin/FakeWorker.java
+++ b/src/test/java/gladeknot/standin/FakeWorker.java
@@ -138,7 +138,8 @@
   public void advance(long now) {
     nowMicros = now;
     if (now - renewedMicros > leaseMicros) {
-      live().forEach(task -> notifyEnded(task, false));
+      long expiredMicros = renewedMicros + leaseMicros;
+      live().forEach(task -> notifyEnded(task, false, expiredMicros));
       tasks.clear();
       tenure++;
       renewedMicros = now;
@@ -147,7 +148,7 @@
       if (task.phase.equals(RUNNING) && now >= task.endsMicros) {
         task.end("done");
         finished.add(task.name);
-        notifyEnded(task, true);
+        notifyEnded(task, true, task.endsMicros);
       }
     }
   }
@@ -159,8 +160,8 @@
     }
   }
 
-  private void notifyEnded(Task task, boolean done) {
-    taskListener.ended(host(), task.name, task.attempt, done, nowMicros);
+  private void notifyEnded(Task task, boolean done, long micros) {
+    taskListener.ended(host(), task.name, task.attempt, done, micros);
   }
 
   /** Tasks that have completed here since it was asked last. */
@@ -256,7 +257,7 @@
       case "kill" -> {
         if (named && !task.hasEnded()) {
           task.end("halted");
-          notifyEnded(task, false);
+          notifyEnded(task, false, nowMicros);
         }
       }
       default -> {
--- a/src/test/java/gladeknot/standin/History.java
+++ b/src/test/java/gladeknot/standin/History.java
@@ -1,5 +1,7 @@
 package gladeknot.standin;
 
+import gladeknot.settings.Settings;
+import gladeknot.standin.ExecutionIntervals.TeamUse;
 import gladeknot.tasks.RecordedAttempts;
 import gladeknot.tasks.RecordedAttempts.Recorded;
 import java.util.ArrayList;
@@ -12,40 +14,60 @@
 import java.util.TreeSet;
 
 /**
- * Records what users, workers and the state service observe, in order, and checks the history: one
- * final phase per job, no overlapping attempts of a task, no start before its commit, no execution
- * of a cancelled job after the cancellation time. Controllers' own reports are not evidence.
+ * Records what users, workers and the state service observe, and checks the history: one final
+ * phase per job, no job forgotten, no overlapping attempts of a task, no team over its limit, no
+ * start before its commit, no execution of a cancelled job after the cancellation time.
+ * Controllers' own reports are not evidence.
  */
-public final class History {
+public final class History implements FakeStateStore.ChangeListener {
   private static final String DONE = "done";
   private static final String WITHDRAWN = "withdrawn";
   private static final String SLICES = "g/sl/";
-
-  private record RunningAttempt(String host, long number) {}
+  private static final String DEFAULT_TEAM = "dev";
+  private static final TeamUse UNKNOWN_JOB = new TeamUse(DEFAULT_TEAM, ResourceUse.of(1, 0));
 
   private record FinalPhase(String phase, long micros) {}
 
   private final long cancelMicros;
-  private final Map<String, Set<RunningAttempt>> running = new HashMap<>();
+  private final List<Settings.Team> teams;
+  private final StoredQuotaChecker storedQuota;
+  private final ExecutionIntervals intervals = new ExecutionIntervals();
   private final Map<String, Integer> sizes = new HashMap<>();
+  private final Map<String, TeamUse> uses = new HashMap<>();
   private final Map<String, Set<String>> completed = new HashMap<>();
   private final Map<String, FinalPhase> finals = new HashMap<>();
+  private final Set<String> accepted = new HashSet<>();
   private final Set<Recorded> committed = new HashSet<>();
   private final Set<String> violations = new LinkedHashSet<>();
   private int starts;
 
   /** Creates an empty history; a cancelled job's tasks may run for {@code cancelMicros} more. */
   public History(long cancelMicros) {
+    this(cancelMicros, List.of(), 0);
+  }
+
+  /** Creates an empty history of a cluster with teams and so many shards. */
+  public History(long cancelMicros, List<Settings.Team> teams, int shards) {
     this.cancelMicros = cancelMicros;
+    this.teams = teams;
+    this.storedQuota = new StoredQuotaChecker(new TeamLimits(teams), shards, violations::add);
   }
 
-  /** Records that a user submits a job with the given number of tasks. */
+  /** Records that a user submits a job with the given number of tasks of one CPU. */
   public synchronized void submitted(String job, int tasks) {
+    submitted(job, tasks, DEFAULT_TEAM, ResourceUse.of(1, 0));
+  }
+
+  /** Records that a user submits a job of a team. */
+  synchronized void submitted(String job, int tasks, String team, ResourceUse use) {
     sizes.put(job, tasks);
+    uses.put(job, new TeamUse(team, use));
   }
 
   /** Records a committed change of a key of the state service; null data deletes the key. */
-  public synchronized void keyCommitted(String key, Map<String, Object> data) {
+  @Override
+  public synchronized void changed(String key, Map<String, Object> data) {
+    storedQuota.changed(key, data);
     if (!key.startsWith(SLICES) || data == null) {
       return;
     }
@@ -53,23 +75,24 @@
         (job, record) -> committed.addAll(RecordedAttempts.of(job, String.valueOf(record))));
   }
 
+  @Override
+  public synchronized void transactionCommitted() {
+    storedQuota.transactionCommitted();
+  }
+
   /** Records that a worker starts an attempt. */
   public synchronized void started(String host, String task, long number, long micros) {
     starts++;
     if (!committed.contains(new Recorded(task, number, host))) {
       violations.add("order without its commit: " + task + " attempt " + number + " on " + host);
     }
-    Set<RunningAttempt> others = running.computeIfAbsent(task, key -> new HashSet<>());
-    for (RunningAttempt other : others) {
-      violations.add("runs twice: " + task + " on " + other.host() + " and " + host);
-    }
-    others.add(new RunningAttempt(host, number));
+    intervals.started(host, task, number, micros);
     checkCancelled(task, micros);
   }
 
   /** Records that an attempt ended on a worker; {@code done} if it completed its task. */
   public synchronized void ended(String host, String task, long number, boolean done, long micros) {
-    running.getOrDefault(task, new HashSet<>()).remove(new RunningAttempt(host, number));
+    intervals.ended(host, task, number, micros);
     checkCancelled(task, micros);
     if (done) {
       completed.computeIfAbsent(jobOf(task), key -> new HashSet<>()).add(task);
@@ -85,12 +108,17 @@
     }
   }
 
+  private TeamUse useOf(String task) {
+    return uses.getOrDefault(jobOf(task), UNKNOWN_JOB);
+  }
+
   private static String jobOf(String task) {
     return task.substring(0, task.lastIndexOf('/'));
   }
 
   /** Records the phase of a job that a controller answered to a user. */
   public synchronized void phaseObserved(String job, String phase, long micros) {
+    accepted.add(job);
     FinalPhase earlier = finals.get(job);
     if (earlier != null && !earlier.phase().equals(phase)) {
       violations.add("two answers: " + job + " " + earlier.phase() + " then " + phase);
@@ -104,6 +132,18 @@
     }
   }
 
+  /** Records that a controller answered a user that there is no such job, or that it is invalid. */
+  public synchronized void denied(String job, int status) {
+    if (accepted.contains(job)) {
+      violations.add("forgotten: " + job + " is accepted and was answered with " + status);
+    }
+  }
+
+  /** Returns whether a user has been told that a job is accepted. */
+  public synchronized boolean isAccepted(String job) {
+    return accepted.contains(job);
+  }
+
   /** Returns the number of attempts that workers have started. */
   public synchronized int starts() {
     return starts;
@@ -116,14 +156,16 @@
     return unfinished;
   }
 
+  /** Returns the tasks that are on machines. */
+  public synchronized List<String> runningTasks() {
+    return intervals.running();
+  }
+
   /** Returns all violations, each once, including attempts of cancelled jobs that still run. */
   public synchronized List<String> violations(long nowMicros) {
-    running.forEach(
-        (task, all) -> {
-          if (!all.isEmpty()) {
-            checkCancelled(task, nowMicros);
-          }
-        });
+    intervals.running().forEach(task -> checkCancelled(task, nowMicros));
+    violations.addAll(intervals.overlaps());
+    violations.addAll(intervals.exceededLimits(teams, this::useOf));
     return new ArrayList<>(violations);
   }
 }
--- a/src/test/java/gladeknot/standin/HistoryTest.java
+++ b/src/test/java/gladeknot/standin/HistoryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gladeknot.settings.Settings;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -15,8 +16,12 @@
 
   private record Case(String reason, Consumer<History> history) {}
 
+  private static History newHistory() {
+    return new History(CANCEL, List.of(new Settings.Team("dev", 0, 4_000, 0, 2_000)), 1);
+  }
+
   private static void commit(History history, String attempts) {
-    history.keyCommitted(KEY, Map.of("req-a", "dev|1000|0|1000|3|0-1||" + attempts));
+    history.changed(KEY, Map.of("req-a", "dev|1000|0|1000|3|0-1||" + attempts));
   }
 
   private static void ordinary(History history) {
@@ -54,6 +59,35 @@
                 commit(history, "0:2:vm-2");
                 history.started("vm-2", "req-a/0", 2, 3);
               }),
+          new Case(
+              "quota",
+              history -> {
+                commit(history, "0:1:vm-1,1:2:vm-2");
+                history.submitted("req-a", 2, "dev", ResourceUse.of(3, 0));
+                history.started("vm-1", "req-a/0", 1, 2);
+                history.started("vm-2", "req-a/1", 2, 3);
+              }),
+          new Case(
+              "quota",
+              history -> {
+                commit(history, "0:1:vm-1,1:2:vm-2");
+                history.submitted("req-a", 2, "dev", ResourceUse.of(1, 1.5));
+                history.started("vm-1", "req-a/0", 1, 2);
+                history.started("vm-2", "req-a/1", 2, 3);
+              }),
+          new Case(
+              "quota",
+              history -> {
+                history.changed("g/team/dev", Map.of("c", List.of(1_000), "g", List.of(0)));
+                commit(history, "0:1:vm-1,1:2:vm-2");
+                history.transactionCommitted();
+              }),
+          new Case(
+              "forgotten",
+              history -> {
+                ordinary(history);
+                history.denied("req-a", 404);
+              }),
           new Case(
               "two answers",
               history -> {
@@ -101,7 +135,7 @@
 
   @Test
   void anOrdinaryHistoryIsAccepted() {
-    History history = new History(CANCEL);
+    History history = newHistory();
     ordinary(history);
     assertEquals(List.of(), history.violations(100));
     assertTrue(history.unfinishedJobs().isEmpty());
@@ -111,7 +145,7 @@
   @Test
   void eachViolationIsFound() {
     for (Case testCase : REJECTED) {
-      History history = new History(CANCEL);
+      History history = newHistory();
       testCase.history().accept(history);
       List<String> found = history.violations(100);
       assertEquals(1, found.size(), testCase.reason() + ": " + found);
@@ -121,7 +155,7 @@
 
   @Test
   void aJobWithoutAFinalAnswerIsOpen() {
-    History history = new History(CANCEL);
+    History history = newHistory();
     history.submitted("req-b", 1);
     history.phaseObserved("req-b", "running", 1);
     assertEquals(java.util.Set.of("req-b"), history.unfinishedJobs());
--- a/src/test/java/gladeknot/standin/LoopbackCluster.java
+++ b/src/test/java/gladeknot/standin/LoopbackCluster.java
@@ -16,22 +16,28 @@
  * drop, delay or refuse traffic in one direction.
  */
 public final class LoopbackCluster implements AutoCloseable {
-  private static final long TASK_MICROS = 1_000_000;
   private static final long EXIT_WAIT_SECONDS = 10;
 
   private final Path dir;
   private final boolean featureOn;
   private final DirectionalProxy proxy = new DirectionalProxy();
-  private final History history = new History(LoopbackServices.CANCEL_MICROS);
-  private final LoopbackServices services =
-      new LoopbackServices(proxy::open, Optional.of(history), TASK_MICROS);
+  private final History history;
+  private final LoopbackServices services;
   private final List<Process> processes = new ArrayList<>();
   private final List<String> statusAddresses = new ArrayList<>();
 
   /** Starts the given number of controllers with settings and logs in {@code dir}. */
   public LoopbackCluster(Path dir, int controllers, boolean featureOn) throws IOException {
+    this(dir, controllers, featureOn, LoopbackScale.SMALL);
+  }
+
+  /** The same with services of another size. */
+  public LoopbackCluster(Path dir, int controllers, boolean featureOn, LoopbackScale scale)
+      throws IOException {
     this.dir = dir;
     this.featureOn = featureOn;
+    this.history = new History(LoopbackServices.CANCEL_MICROS, scale.teams(), controllers);
+    this.services = new LoopbackServices(proxy::open, Optional.of(history), scale);
     services.start(dir, controllers);
     for (int i = 0; i < controllers; i++) {
       String listen = "127.0.0.1:" + LoopbackServices.freePort();
@@ -73,6 +79,26 @@
     processes.get(node).waitFor(EXIT_WAIT_SECONDS, TimeUnit.SECONDS);
   }
 
+  /** Suspends one controller's process, or resumes it; its clocks go on. */
+  public void suspend(int node, boolean on) throws IOException, InterruptedException {
+    Process process = processes.get(node);
+    if (process.isAlive()) {
+      new ProcessBuilder("kill", on ? "-STOP" : "-CONT", String.valueOf(process.pid()))
+          .start()
+          .waitFor(EXIT_WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Returns whether one controller's process is running, perhaps suspended. */
+  public boolean isRunning(int node) {
+    return processes.get(node).isAlive();
+  }
+
+  /** Delays one direction of a link. */
+  public void delay(String link, Direction toward, long millis) {
+    proxy.setMode(link, toward, Mode.DELAY, millis);
+  }
+
   /** Sets the proxy mode of one direction of a link. */
   public void setMode(String link, Direction toward, Mode mode) {
     proxy.setMode(link, toward, mode, 0);
--- /dev/null
+++ b/src/test/java/gladeknot/standin/LoopbackFaults.java
@@ -0,0 +1,224 @@
+package gladeknot.standin;
+
+import gladeknot.standin.DirectionalProxy.Direction;
+import gladeknot.standin.DirectionalProxy.Mode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * Faults of a cluster of real processes, drawn from a seed: processes that are killed, suspended
+ * and started again, links that lose, delay or refuse traffic in one direction, a state service
+ * that refuses, loses answers or carries out late, machines that freeze, are cut off or receive
+ * nothing, late copies. Several last at the same time; each ends by itself.
+ */
+final class LoopbackFaults {
+  private static final int MAX_ACTIVE = 3;
+  private static final long DELAY_MILLIS = 400;
+
+  /** Something that may fail, as a step of a fault. */
+  private interface Action {
+    void run() throws IOException, InterruptedException;
+  }
+
+  private record Active(long untilMicros, Action end) {}
+
+  private final LoopbackCluster cluster;
+  private final int controllers;
+  private final SplittableRandom random;
+  private final List<Active> active = new ArrayList<>();
+  private final Set<Integer> busyNodes = new TreeSet<>();
+  private final List<String> log = new ArrayList<>();
+  private final long startMicros = LoopbackServices.now();
+
+  LoopbackFaults(LoopbackCluster cluster, int controllers, long seed) {
+    this.cluster = cluster;
+    this.controllers = controllers;
+    this.random = new SplittableRandom(seed);
+  }
+
+  /** What was drawn, a line for each fault. */
+  List<String> log() {
+    return log;
+  }
+
+  /** Ends the faults that are over, and perhaps begins another. */
+  void step() throws IOException, InterruptedException {
+    for (Active fault : List.copyOf(active)) {
+      if (LoopbackServices.now() >= fault.untilMicros()) {
+        active.remove(fault);
+        fault.end().run();
+      }
+    }
+    if (active.size() < MAX_ACTIVE && random.nextInt(4) > 0) {
+      begin();
+    }
+  }
+
+  /** Ends all faults. */
+  void endAll() throws IOException, InterruptedException {
+    for (Active fault : List.copyOf(active)) {
+      fault.end().run();
+    }
+    active.clear();
+    cluster.services().stateFaults().clear();
+    log.add(elapsed() + " s: all faults have ended");
+  }
+
+  private String elapsed() {
+    return String.format("%.1f", (LoopbackServices.now() - startMicros) / 1e6);
+  }
+
+  private void last(String name, long millis, Action end) {
+    log.add(elapsed() + " s: " + name + " for " + millis + " ms");
+    active.add(new Active(LoopbackServices.now() + millis * 1000, end));
+  }
+
+  private void begin() throws IOException, InterruptedException {
+    int node = random.nextInt(controllers);
+    switch (random.nextInt(16)) {
+      case 0, 1 -> kill(node, random.nextLong(50, 900));
+      case 2 -> kill(node, random.nextLong(2_000, 9_000));
+      case 3 -> killAll(random.nextLong(100, 7_000));
+      case 4 -> suspend(node, random.nextLong(300, 9_000));
+      case 5 -> drop(LoopbackCluster.stateLink(node), random.nextLong(500, 9_000));
+      case 6 -> drop(LoopbackCluster.workerLink(node), random.nextLong(500, 8_000));
+      case 7 -> dropPeers(node, random.nextLong(500, 9_000));
+      case 8 -> delay(LoopbackCluster.stateLink(node), random.nextLong(1_000, 6_000));
+      case 9 -> refuseNode(node, random.nextLong(500, 9_000));
+      case 10 -> outage(random.nextLong(500, 8_000));
+      case 11 -> unanswered(random.nextLong(500, 4_000));
+      case 12 -> late(random.nextLong(500, 4_000));
+      case 13 -> ofMachines("frozen", 4, random.nextLong(500, 8_000), LoopbackWorker::freezeFor);
+      case 14 -> cutZone(random.nextLong(1_000, 9_000));
+      default -> lateMessages(random.nextLong(2_000, 8_000));
+    }
+  }
+
+  private void kill(int node, long millis) throws IOException, InterruptedException {
+    if (busyNodes.add(node)) {
+      cluster.kill(node);
+      last("kill node-" + node, millis, () -> start(node));
+    }
+  }
+
+  private void killAll(long millis) throws IOException, InterruptedException {
+    for (int node = 0; node < controllers; node++) {
+      kill(node, millis + random.nextLong(400));
+    }
+  }
+
+  private void start(int node) throws IOException {
+    cluster.start(node);
+    busyNodes.remove(node);
+  }
+
+  private void suspend(int node, long millis) throws IOException, InterruptedException {
+    if (busyNodes.add(node)) {
+      cluster.suspend(node, true);
+      last(
+          "suspend node-" + node,
+          millis,
+          () -> {
+            cluster.suspend(node, false);
+            busyNodes.remove(node);
+          });
+    }
+  }
+
+  private void drop(String link, long millis) {
+    List<Direction> directions =
+        switch (random.nextInt(3)) {
+          case 0 -> List.of(Direction.REQUESTS);
+          case 1 -> List.of(Direction.ANSWERS);
+          default -> List.of(Direction.REQUESTS, Direction.ANSWERS);
+        };
+    directions.forEach(direction -> cluster.setMode(link, direction, Mode.DROP));
+    last("drop " + link + " " + directions, millis, () -> pass(link));
+  }
+
+  private void pass(String link) {
+    for (Direction direction : Direction.values()) {
+      cluster.setMode(link, direction, Mode.PASS);
+    }
+  }
+
+  private void dropPeers(int node, long millis) {
+    for (int other = 0; other < controllers; other++) {
+      if (other != node) {
+        drop(LoopbackCluster.peerLink(node, other), millis);
+      }
+    }
+  }
+
+  private void delay(String link, long millis) {
+    cluster.delay(link, Direction.ANSWERS, DELAY_MILLIS);
+    last("delay " + link, millis, () -> pass(link));
+  }
+
+  private void refuseNode(int node, long millis) {
+    StateServiceFaults faults = cluster.services().stateFaults();
+    faults.refuse(node, true);
+    last("state refuses node-" + node, millis, () -> faults.refuse(node, false));
+  }
+
+  private void outage(long millis) {
+    StateServiceFaults faults = cluster.services().stateFaults();
+    faults.outage(true);
+    last("state outage", millis, () -> faults.outage(false));
+  }
+
+  private void unanswered(long millis) {
+    StateServiceFaults faults = cluster.services().stateFaults();
+    faults.unansweredShare(0.3);
+    last("lost answers of transactions", millis, () -> faults.unansweredShare(0));
+  }
+
+  private void late(long millis) {
+    StateServiceFaults faults = cluster.services().stateFaults();
+    faults.lateShare(0.3);
+    last("late transactions", millis, () -> faults.lateShare(0));
+  }
+
+  private interface MachineFault {
+    void last(LoopbackWorker worker, long micros);
+  }
+
+  /** One machine in so many has a fault, which ends by itself. */
+  private void ofMachines(String name, int oneIn, long millis, MachineFault fault) {
+    int hit = 0;
+    for (LoopbackWorker worker : cluster.services().workers()) {
+      if (random.nextInt(oneIn) == 0) {
+        fault.last(worker, millis * 1000);
+        hit++;
+      }
+    }
+    last(hit + " machines " + name, millis, () -> {});
+  }
+
+  private void cutZone(long millis) {
+    String zone = random.nextBoolean() ? "a" : "b";
+    MachineFault fault =
+        random.nextBoolean() ? LoopbackWorker::cutFor : LoopbackWorker::loseResponsesFor;
+    for (LoopbackWorker worker : cluster.services().workers()) {
+      if (worker.zone().equals(zone)) {
+        fault.last(worker, millis * 1000);
+      }
+    }
+    last("zone " + zone + " cut", millis, () -> {});
+  }
+
+  private void lateMessages(long millis) {
+    Consumer<LoopbackWorker> both =
+        worker -> {
+          worker.repeatHeartbeatsFor(millis * 1000);
+          worker.delayCommandsFor(millis * 1000);
+        };
+    cluster.services().workers().forEach(both);
+    last("late copies of heartbeats, late commands", millis, () -> {});
+  }
+}
--- a/src/test/java/gladeknot/standin/LoopbackServices.java
+++ b/src/test/java/gladeknot/standin/LoopbackServices.java
@@ -4,6 +4,7 @@
 import com.sun.net.httpserver.HttpServer;
 import gladeknot.json.Json;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -30,9 +31,11 @@
   /** The time within which tasks of a cancelled job end. */
   public static final long CANCEL_MICROS = 20_000_000;
 
-  private static final int MACHINES = 20;
   private static final long BOOT_MICROS = 1_000_000;
 
+  /** The caller of a watch gives up so long after the time that it asked for. */
+  private static final long WATCH_MARGIN_MICROS = 4_000_000;
+
   /** Resolves the address by which the client of a link reaches its target. */
   public interface Links {
     /** Connects every link directly to its target. */
@@ -43,22 +46,26 @@
   }
 
   private final FakeStateStore state = new FakeStateStore();
-  private final FakeCloud cloud = new FakeCloud(MACHINES, BOOT_MICROS);
+  private final StateServiceFaults stateFaults = new StateServiceFaults();
+  private final FakeCloud cloud;
   private final TreeMap<String, LoopbackWorker> workers = new TreeMap<>();
   private final ExecutorService threads = Executors.newCachedThreadPool(LoopbackServices::daemon);
   private final Links links;
   private final Optional<History> history;
-  private final long taskMicros;
+  private final LoopbackScale scale;
   private final List<String> nodes = new ArrayList<>();
   private final List<String> nodesForWorkers = new ArrayList<>();
   private volatile boolean stopped;
+  private boolean inOutage;
+  private long stateAdvancedMicros;
 
-  /** Creates services; tasks run for {@code taskMicros} unless their job is a service. */
-  public LoopbackServices(Links links, Optional<History> history, long taskMicros) {
+  /** Creates services of some size. */
+  public LoopbackServices(Links links, Optional<History> history, LoopbackScale scale) {
     this.links = links;
     this.history = history;
-    this.taskMicros = taskMicros;
-    history.ifPresent(observer -> state.setChangeListener(observer::keyCommitted));
+    this.scale = scale;
+    this.cloud = new FakeCloud(scale.machines(), scale.machineGpus(), BOOT_MICROS);
+    history.ifPresent(observer -> state.setChangeListener(observer));
   }
 
   private static Thread daemon(Runnable run) {
@@ -79,6 +86,17 @@
     }
   }
 
+  /** Does something after a time, unless the services are stopped before. */
+  void later(long micros, Runnable action) {
+    threads.execute(
+        () -> {
+          pause(micros / 1000);
+          if (!stopped) {
+            action.run();
+          }
+        });
+  }
+
   /** Handles one request. */
   interface Service {
     ServiceResponse serve(String method, String uri, byte[] body) throws IOException;
@@ -97,25 +115,92 @@
   private static void handle(HttpExchange exchange, Service service) throws IOException {
     byte[] body = exchange.getRequestBody().readAllBytes();
     String uri = exchange.getRequestURI().toString();
-    ServiceResponse answer = service.serve(exchange.getRequestMethod(), uri, body);
-    byte[] bytes = Json.bytes(answer.body());
-    exchange.sendResponseHeaders(answer.status(), bytes.length);
-    exchange.getResponseBody().write(bytes);
-    exchange.close();
+    try {
+      ServiceResponse answer = service.serve(exchange.getRequestMethod(), uri, body);
+      byte[] bytes = Json.bytes(answer.body());
+      exchange.sendResponseHeaders(answer.status(), bytes.length);
+      exchange.getResponseBody().write(bytes);
+    } finally {
+      exchange.close();
+    }
   }
 
-  private ServiceResponse serveState(String method, String uri, byte[] body) throws IOException {
-    long until = now();
+  private ServiceResponse serveState(int node, String method, String uri, byte[] body)
+      throws IOException {
     if (uri.startsWith("/follow")) {
-      until += Long.parseLong(FakeStateStore.query(uri).get("waitMs")) * 1000;
+      return serveWatch(node, method, uri, body);
+    }
+    if (stateFaults.refuses(node)) {
+      return new ServiceResponse(503, Json.of());
+    }
+    if (uri.equals("/commit")) {
+      return serveTransaction(method, uri, body);
+    }
+    return serveNow(method, uri, body);
+  }
+
+  private synchronized ServiceResponse serveNow(String method, String uri, byte[] body)
+      throws IOException {
+    advanceState();
+    return state.serve(method, uri, body);
+  }
+
+  /** Leases get their full time again after an outage. */
+  private void advanceState() {
+    if (stateFaults.hasOutage()) {
+      inOutage = true;
+      return;
+    }
+    state.advance(inOutage ? stateAdvancedMicros : now());
+    if (inOutage) {
+      inOutage = false;
+      state.setTime(now());
+      state.renewAll();
+    }
+    stateAdvancedMicros = now();
+  }
+
+  private ServiceResponse serveTransaction(String method, String uri, byte[] body)
+      throws IOException {
+    switch (stateFaults.fateOfTransaction()) {
+      case CARRIED_OUT_UNANSWERED -> {
+        serveNow(method, uri, body);
+        throw new IOException("the answer is lost");
+      }
+      case CARRIED_OUT_LATE -> {
+        long delayMillis = stateFaults.lateMillis();
+        later(delayMillis * 1000, () -> carryOutLate(method, uri, body));
+        throw new IOException("the transaction is late");
+      }
+      default -> {
+        return serveNow(method, uri, body);
+      }
+    }
+  }
+
+  private void carryOutLate(String method, String uri, byte[] body) {
+    try {
+      serveNow(method, uri, body);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
+  }
+
+  /** Open watches stay open through an outage, and wait. */
+  private ServiceResponse serveWatch(int node, String method, String uri, byte[] body)
+      throws IOException {
+    long until = now() + Long.parseLong(FakeStateStore.query(uri).get("waitMs")) * 1000;
+    long from = Long.parseLong(FakeStateStore.query(uri).get("from"));
     while (true) {
-      synchronized (this) {
-        state.advance(now());
-        boolean wait = uri.startsWith("/follow") && now() < until;
-        if (!wait || state.changedSince(Long.parseLong(FakeStateStore.query(uri).get("from")))) {
-          return state.serve(method, uri, body);
+      if (!stateFaults.refuses(node)) {
+        synchronized (this) {
+          advanceState();
+          if (now() >= until || state.changedSince(from)) {
+            return state.serve(method, uri, body);
+          }
         }
+      } else if (now() >= until + WATCH_MARGIN_MICROS) {
+        throw new IOException("the watch is not answered");
       }
       pause(5);
     }
@@ -154,12 +239,22 @@
 
   private LoopbackWorker boot(FakeCloud.Machine machine) {
     try {
-      return new LoopbackWorker(this, machine, history, taskMicros);
+      return new LoopbackWorker(this, machine, history, scale.taskMicros());
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
   }
 
+  /** Returns the faults of the state service. */
+  public StateServiceFaults stateFaults() {
+    return stateFaults;
+  }
+
+  /** Returns the workers that are up, by host. */
+  synchronized List<LoopbackWorker> workers() {
+    return List.copyOf(workers.values());
+  }
+
   /** Returns the addresses by which workers reach the controllers. */
   List<String> nodesForWorkers() {
     return nodesForWorkers;
@@ -194,7 +289,6 @@
 
   /** Starts the services and writes settings for {@code count} controllers into {@code dir}. */
   public void start(Path dir, int count) throws IOException {
-    String stateAddress = listen(this::serveState);
     String cloudAddress = listen(this::serveCloud);
     List<String> peers = new ArrayList<>();
     for (int i = 0; i < count; i++) {
@@ -218,25 +312,25 @@
       }
       text.append("[external]\n");
       text.append("cloud = \"" + links.address(self + ">cloud", cloudAddress) + "\"\n");
-      text.append("state = \"" + links.address(self + ">state", stateAddress) + "\"\n");
-      text.append(CLUSTER);
+      int asking = i;
+      String state = listen((method, uri, body) -> serveState(asking, method, uri, body));
+      text.append("state = \"" + links.address(self + ">state", state) + "\"\n");
+      text.append(CLUSTER_BEGIN).append(scale.teamSettings()).append(CLUSTER_END);
       Files.writeString(dir.resolve(self + ".toml"), text);
     }
     threads.execute(this::runWorkers);
   }
 
-  private static final String CLUSTER =
+  private static final String CLUSTER_BEGIN =
       """
       [cluster]
       initial_size = 3
       zones = ["a", "b"]
       clock_error_ms = 100.0
-      [[cluster.teams]]
-      name = "dev"
-      cpus = 8.0
-      cpus_max = 40.0
-      gpus = 0.0
-      gpus_max = 0.0
+      """;
+
+  private static final String CLUSTER_END =
+      """
       [[cluster.objectives]]
       kind = "wait"
       class = "web"
--- /dev/null
+++ b/src/test/java/gladeknot/standin/LoopbackSoak.java
@@ -0,0 +1,267 @@
+package gladeknot.standin;
+
+import gladeknot.settings.Settings;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+
+/**
+ * Plays one seed on real processes: three controllers, teams near their limits of CPUs and GPUs,
+ * users that submit, cancel, ask and repeat at all nodes, and {@link LoopbackFaults} that overlap.
+ * The verdict depends on the recorded {@link History} and on what the controllers assert, never on
+ * speed.
+ */
+public final class LoopbackSoak {
+  private static final int CONTROLLERS = 3;
+  private static final int USERS = 3;
+  private static final long SUBMIT_INTERVAL_MILLIS = 250;
+  private static final long READY_MILLIS = 60_000;
+  private static final long SETTLE_MILLIS = 150_000;
+  private static final long STEP_MILLIS = 500;
+  private static final long TASK_MICROS = 1_500_000;
+
+  /** What a controller logs when it has found a fault of its own. */
+  private static final List<String> LOGGED_FAULTS =
+      List.of("quota share violated", "quota record violated", "event failed", "OutOfMemoryError");
+
+  /** One in so many seeds has a few hundred machines. */
+  private static final int LARGE_ONE_IN = 6;
+
+  private static final LoopbackScale USUAL =
+      new LoopbackScale(
+          24,
+          2,
+          List.of(
+              new Settings.Team("dev", 8_000, 24_000, 0, 0),
+              new Settings.Team("ops", 6_000, 18_000, 2_000, 6_000),
+              new Settings.Team("lab", 4_000, 0, 4_000, 8_000)),
+          TASK_MICROS);
+
+  private static final LoopbackScale LARGE =
+      new LoopbackScale(
+          260,
+          2,
+          List.of(
+              new Settings.Team("dev", 200_000, 660_000, 0, 0),
+              new Settings.Team("ops", 6_000, 18_000, 2_000, 6_000),
+              new Settings.Team("lab", 4_000, 0, 4_000, 8_000)),
+          TASK_MICROS);
+
+  private final Path dir;
+  private final long seed;
+  private final long faultMillis;
+  private final List<String> problems = new ArrayList<>();
+
+  /** A run of a seed with faults for a time; its files go to a folder. */
+  public LoopbackSoak(Path dir, long seed, long faultMillis) {
+    this.dir = dir;
+    this.seed = seed;
+    this.faultMillis = faultMillis;
+  }
+
+  /** Whether a seed has a few hundred machines. */
+  public static boolean isLarge(long seed) {
+    return Math.floorMod(seed, LARGE_ONE_IN) == 0;
+  }
+
+  /**
+   * Plays the seed; returns what was broken, nothing if all held. The schedule, the logs and the
+   * problems stay in the folder if there are any.
+   */
+  public List<String> run() throws IOException, InterruptedException {
+    deleteFiles();
+    Files.createDirectories(dir);
+    LoopbackScale scale = isLarge(seed) ? LARGE : USUAL;
+    List<String> schedule;
+    try (LoopbackCluster cluster = new LoopbackCluster(dir, CONTROLLERS, false, scale)) {
+      schedule = play(cluster);
+    }
+    if (problems.isEmpty()) {
+      deleteFiles();
+    } else {
+      Files.write(dir.resolve("schedule.txt"), schedule);
+      Files.write(dir.resolve("problems.txt"), problems);
+    }
+    return problems;
+  }
+
+  private void deleteFiles() throws IOException {
+    if (Files.exists(dir)) {
+      try (Stream<Path> files = Files.walk(dir)) {
+        for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+          Files.delete(file);
+        }
+      }
+    }
+  }
+
+  private List<String> play(LoopbackCluster cluster) throws IOException, InterruptedException {
+    if (!await(READY_MILLIS, () -> eachShardHasItsHome(cluster))) {
+      problems.add("not ready: the shards have no owners");
+      return List.of();
+    }
+    List<LoopbackUsers> users = newUsers(cluster);
+    List<Thread> threads = users.stream().map(LoopbackSoak::startThread).toList();
+    LoopbackServices.pause(isLarge(seed) ? 12_000 : 5_000);
+    LoopbackFaults faults = new LoopbackFaults(cluster, CONTROLLERS, seed);
+    long until = LoopbackServices.now() + faultMillis * 1000;
+    while (LoopbackServices.now() < until) {
+      faults.step();
+      LoopbackServices.pause(STEP_MILLIS);
+    }
+    faults.endAll();
+    users.forEach(LoopbackUsers::stop);
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    settle(cluster, users);
+    check(cluster);
+    return faults.log();
+  }
+
+  private List<LoopbackUsers> newUsers(LoopbackCluster cluster) {
+    List<LoopbackUsers> users = new ArrayList<>();
+    for (int i = 0; i < USERS; i++) {
+      users.add(
+          new LoopbackUsers(
+              cluster.services().nodes(),
+              cluster.history(),
+              seed * USERS + i,
+              SUBMIT_INTERVAL_MILLIS,
+              "u" + i + "x",
+              isLarge(seed) && i == 0 ? LoopbackSoak::largeJob : LoopbackSoak::job,
+              true));
+    }
+    return users;
+  }
+
+  private static Thread startThread(LoopbackUsers users) {
+    Thread thread = new Thread(users, "users");
+    thread.setDaemon(true);
+    thread.start();
+    return thread;
+  }
+
+  private static Map<String, Object> job(String id, SplittableRandom random) {
+    String shape =
+        switch (random.nextInt(10)) {
+          case 0 -> "ensemble";
+          case 1 -> "service";
+          default -> "array";
+        };
+    int tasks = shape.equals("array") ? 1 + random.nextInt(12) : 2 + random.nextInt(2);
+    Map<String, Object> job = TestJobs.job(id, shape, tasks);
+    String team = List.of("dev", "ops", "lab").get(random.nextInt(3));
+    job.put("owner", team);
+    job.put("accelerators", team.equals("dev") ? 0.0 : (double) random.nextInt(2));
+    return job;
+  }
+
+  /** Arrays whose tasks take most of a machine each, so that hundreds of machines are rented. */
+  private static Map<String, Object> largeJob(String id, SplittableRandom random) {
+    Map<String, Object> job = TestJobs.job(id, "array", 60 + random.nextInt(60));
+    job.put("cores", 3.0);
+    return job;
+  }
+
+  /** Services are cancelled; then everything that was accepted has to come to its end. */
+  private void settle(LoopbackCluster cluster, List<LoopbackUsers> users) {
+    boolean ended =
+        await(
+            SETTLE_MILLIS,
+            () -> {
+              users.forEach(LoopbackSoak::finish);
+              return openJobs(cluster).isEmpty();
+            });
+    if (!ended) {
+      problems.add("not ended or not answered for: " + openJobs(cluster));
+    }
+    boolean stopped =
+        await(
+            LoopbackServices.CANCEL_MICROS / 1000,
+            () -> cluster.history().runningTasks().isEmpty());
+    if (!stopped) {
+      problems.add("still on machines: " + cluster.history().runningTasks());
+    }
+  }
+
+  private static Set<String> openJobs(LoopbackCluster cluster) {
+    Set<String> open = cluster.history().unfinishedJobs();
+    open.removeIf(job -> !cluster.history().isAccepted(job));
+    return open;
+  }
+
+  private static void finish(LoopbackUsers users) {
+    for (String job : users.jobs()) {
+      if (users.isOpen(job)) {
+        if (users.isService(job)) {
+          users.cancel(job);
+        } else {
+          users.poll(job);
+        }
+      }
+    }
+  }
+
+  private void check(LoopbackCluster cluster) throws IOException {
+    problems.addAll(cluster.history().violations(LoopbackServices.now()));
+    for (int node = 0; node < CONTROLLERS; node++) {
+      if (!cluster.isRunning(node)) {
+        problems.add("node-" + node + " has ended by itself");
+      }
+      String log = cluster.log(node);
+      for (String fault : LOGGED_FAULTS) {
+        if (log.contains(fault)) {
+          problems.add("node-" + node + " logged: " + fault);
+        }
+      }
+    }
+    if (cluster.history().starts() == 0) {
+      problems.add("nothing ran");
+    }
+  }
+
+  private static boolean eachShardHasItsHome(LoopbackCluster cluster) {
+    for (int i = 0; i < CONTROLLERS; i++) {
+      if (!("node-" + i).equals(cluster.owner(i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private interface Condition {
+    boolean holds();
+  }
+
+  private static boolean await(long millis, Condition condition) {
+    long until = LoopbackServices.now() + millis * 1000;
+    while (!condition.holds()) {
+      if (LoopbackServices.now() > until) {
+        return false;
+      }
+      LoopbackServices.pause(200);
+    }
+    return true;
+  }
+
+  /** Runs a seed and turns failures of the machinery itself into problems. */
+  public static List<String> problemsOf(Path dir, long seed, long faultMillis) {
+    try {
+      return new LoopbackSoak(dir, seed, faultMillis).run();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return List.of("interrupted");
+    }
+  }
+}
--- a/src/test/java/gladeknot/standin/RandomFaults.java
+++ b/src/test/java/gladeknot/standin/RandomFaults.java
@@ -74,56 +74,68 @@
 
   private void begin() {
     int node = random.nextInt(controllers);
-    FaultInjection faults = cluster.faults();
-    int kind = random.nextInt(KINDS);
-    switch (kind) {
+    switch (random.nextInt(KINDS)) {
       case 0, 1 -> killOne(node, between(150, 900));
       case 2 -> killOne(node, between(2_000, 25_000));
-      case 3 -> {
-        cluster.pause(node, true);
-        last("pause " + node, between(500, 20_000), () -> cluster.pause(node, false));
-      }
-      case 4 -> {
-        faults.disconnectFromState(node, true);
-        last("no state " + node, between(1_000, 20_000), () -> reconnectState(node));
-      }
-      case 5 -> {
-        faults.stallWatch(node, true);
-        last("stalled watch " + node, between(1_000, 9_000), () -> faults.stallWatch(node, false));
-      }
-      case 6 -> {
-        faults.rejectStateCalls(node, true);
-        last("503 " + node, between(1_000, 15_000), () -> faults.rejectStateCalls(node, false));
-      }
-      case 7 -> {
-        faults.stateOutage(true);
-        last("outage", between(1_000, 12_000), () -> faults.stateOutage(false));
-      }
-      case 8 -> {
-        String zone = ZONES.get(random.nextInt(ZONES.size()));
-        faults.partitionZone(zone, random.nextBoolean() ? Set.of() : Set.of(node));
-        last("partition " + zone, between(2_000, 16_000), faults::healPartitions);
-      }
-      case 9 -> {
-        faults.loseCommitResponses(1 + random.nextInt(3));
-        faults.delayLostCommits(between(0, 6_000));
-        last("lost answers", between(500, 3_000), () -> faults.loseCommitResponses(0));
-      }
-      case 10 -> {
-        faults.lateCommitShare(0.3);
-        last("late commits", between(2_000, 8_000), () -> faults.lateCommitShare(0));
-      }
+      case 3 -> pauseOne(node, between(500, 20_000));
+      case 4 -> disconnectState(node, between(1_000, 20_000));
+      case 5 -> stallWatch(node, between(1_000, 9_000));
+      case 6 -> rejectStateCalls(node, between(1_000, 15_000));
+      case 7 -> stateOutage(between(1_000, 12_000));
+      case 8 -> partition(random.nextBoolean() ? Set.of() : Set.of(node), between(2_000, 16_000));
+      case 9 -> loseCommitResponses(between(500, 3_000));
+      case 10 -> commitLate(between(2_000, 8_000));
       case 11 -> freezeOne(between(1_000, 14_000));
-      case 12 -> {
-        faults.duplicateHeartbeats(true);
-        last("copies", between(5_000, 20_000), () -> faults.duplicateHeartbeats(false));
-      }
+      case 12 -> duplicateHeartbeats(between(5_000, 20_000));
       default -> dropResponsesOfOne(between(2_000, 20_000));
     }
   }
 
-  private void reconnectState(int node) {
-    cluster.faults().disconnectFromState(node, false);
+  private void pauseOne(int node, long micros) {
+    cluster.pause(node, true);
+    last("pause " + node, micros, () -> cluster.pause(node, false));
+  }
+
+  private void disconnectState(int node, long micros) {
+    cluster.faults().disconnectFromState(node, true);
+    last("no state " + node, micros, () -> cluster.faults().disconnectFromState(node, false));
+  }
+
+  private void stallWatch(int node, long micros) {
+    cluster.faults().stallWatch(node, true);
+    last("stalled watch " + node, micros, () -> cluster.faults().stallWatch(node, false));
+  }
+
+  private void rejectStateCalls(int node, long micros) {
+    cluster.faults().rejectStateCalls(node, true);
+    last("503 for " + node, micros, () -> cluster.faults().rejectStateCalls(node, false));
+  }
+
+  private void stateOutage(long micros) {
+    cluster.faults().stateOutage(true);
+    last("outage", micros, () -> cluster.faults().stateOutage(false));
+  }
+
+  private void partition(Set<Integer> reachable, long micros) {
+    String zone = ZONES.get(random.nextInt(ZONES.size()));
+    cluster.faults().partitionZone(zone, reachable);
+    last("zone " + zone + " reaches " + reachable, micros, () -> cluster.faults().healPartitions());
+  }
+
+  private void loseCommitResponses(long micros) {
+    cluster.faults().loseCommitResponses(1 + random.nextInt(3));
+    cluster.faults().delayLostCommits(between(0, 6_000));
+    last("lost answers", micros, () -> cluster.faults().loseCommitResponses(0));
+  }
+
+  private void commitLate(long micros) {
+    cluster.faults().lateCommitShare(0.3);
+    last("late commits", micros, () -> cluster.faults().lateCommitShare(0));
+  }
+
+  private void duplicateHeartbeats(long micros) {
+    cluster.faults().duplicateHeartbeats(true);
+    last("copies", micros, () -> cluster.faults().duplicateHeartbeats(false));
   }
 
   private void killOne(int node, long micros) {
--- a/src/test/java/gladeknot/standin/StandInServer.java
+++ b/src/test/java/gladeknot/standin/StandInServer.java
@@ -31,7 +31,10 @@
   private final HttpClient client =
       HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
   private final LoopbackServices services =
-      new LoopbackServices(LoopbackServices.Links.DIRECT, Optional.empty(), TASK_MICROS);
+      new LoopbackServices(
+          LoopbackServices.Links.DIRECT,
+          Optional.empty(),
+          LoopbackScale.SMALL.withTaskMicros(TASK_MICROS));
 
   private StandInServer() {}
 
