Loopback tests: controllers listen below the ports of outgoing connections; a team at its limit stays busy

Change: ports are drawn from 12000 to 32000. QuotaFaultsTest measures the time from an end to the next start at the limit.

--- a/src/test/java/gladeknot/app/QuotaFaultsTest.java
+++ b/src/test/java/gladeknot/app/QuotaFaultsTest.java
@@ -36,6 +36,12 @@
   private static final int CONTROLLERS = 3;
   private static final int FULL = 24;
   private static final long STEP = 10_000;
+  private static final long TASK_MICROS = 5 * SECOND;
+  private static final long MEASURED_MICROS = 120 * SECOND;
+
+  /** A heartbeat interval for the end to be reported, and as much for the next start. */
+  private static final long MAX_IDLE_MICROS = 2 * SECOND;
+
   private static final ClusterScale TWO_TEAMS =
       ClusterScale.withTeams(
           24,
@@ -43,6 +49,28 @@
           new Settings.Team("dev", 8_000, FULL * 1_000, 0, 0),
           new Settings.Team("ops", 8_000, FULL * 1_000, 0, 0));
 
+  /** An end has to be committed before its quota is used again: that must not leave it idle. */
+  @Test
+  void aTeamAtItsLimitIsKeptBusy() {
+    // given
+    SimulatedCluster cluster = new SimulatedCluster(CONTROLLERS, 44, TWO_TEAMS);
+    cluster.taskDuration(TASK_MICROS);
+    cluster.run(3 * SECOND);
+    Map<String, Object> job = TestJobs.job("req-many", "array", 1_500);
+    job.put("guessS", 100.0);
+    cluster.submit(0, job);
+    cluster.run(40 * SECOND);
+    // when
+    int startsBefore = cluster.starts();
+    cluster.run(MEASURED_MICROS);
+    // then
+    double perPlace = (cluster.starts() - startsBefore) / (double) FULL;
+    double idleMicros = MEASURED_MICROS / perPlace - TASK_MICROS;
+    System.out.printf("from an end to the next start at the limit: %.0f ms%n", idleMicros / 1e3);
+    assertTrue(idleMicros < MAX_IDLE_MICROS, idleMicros + " us between an end and the next start");
+    assertEquals(List.of(), cluster.violations());
+  }
+
   /** The same without a failover: a delegate renews the leases that count as expired. */
   @Test
   void quotaOfTasksWhoseLeasesADelegateRenewsIsNotGivenAway() {
--- a/src/test/java/gladeknot/standin/LoopbackServices.java
+++ b/src/test/java/gladeknot/standin/LoopbackServices.java
@@ -5,6 +5,7 @@
 import gladeknot.json.Json;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -16,6 +17,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Fake state service, cloud and workers behind real sockets on loopback, and the settings files of
@@ -33,6 +35,12 @@
 
   private static final long BOOT_MICROS = 1_000_000;
 
+  /** Below the ports that outgoing connections use. */
+  private static final int FIRST_PORT = 12_000;
+
+  private static final int LAST_PORT = 32_000;
+  private static final int PORT_ATTEMPTS = 100;
+
   /** The caller of a watch gives up so long after the time that it asked for. */
   private static final long WATCH_MARGIN_MICROS = 4_000_000;
 
@@ -280,11 +288,20 @@
     stopped = true;
   }
 
-  /** Returns a free loopback port. */
+  /**
+   * Returns a free loopback port that the system gives to no outgoing connection: the controller
+   * that is to listen there starts later, and may be started again.
+   */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
+    for (int attempt = 0; attempt < PORT_ATTEMPTS; attempt++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try (ServerSocket socket = new ServerSocket(port)) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Taken: another is drawn.
+      }
     }
+    throw new IOException("no free port");
   }
 
   /** Starts the services and writes settings for {@code count} controllers into {@code dir}. */
