--- a/src/test/java/gladeknot/standin/HistoryTest.java
+++ b/src/test/java/gladeknot/standin/HistoryTest.java
@@ -82,6 +82,17 @@
                 commit(history, "0:1:vm-1,1:2:vm-2");
                 history.transactionCommitted();
               }),
+          new Case(
+              "called done",
+              history -> {
+                history.submitted("req-a", 2);
+                history.submittedAsGang("req-a");
+                commit(history, "0:1:vm-1,1:1:vm-2");
+                history.started("vm-1", "req-a/0", 1, 2);
+                history.started("vm-2", "req-a/1", 1, 2);
+                history.ended("vm-1", "req-a/0", 1, false, 3);
+                history.phaseObserved("req-a", "done", 4);
+              }),
           new Case(
               "forgotten",
               history -> {
@@ -142,6 +153,20 @@
     assertEquals(2, history.starts());
   }
 
+  @Test
+  void aGangIsDoneOnceOneOfItsTasksIs() {
+    History history = newHistory();
+    history.submitted("req-a", 2);
+    history.submittedAsGang("req-a");
+    commit(history, "0:1:vm-1,1:1:vm-2");
+    history.started("vm-1", "req-a/0", 1, 2);
+    history.started("vm-2", "req-a/1", 1, 2);
+    history.ended("vm-1", "req-a/0", 1, false, 3);
+    history.ended("vm-2", "req-a/1", 1, true, 3);
+    history.phaseObserved("req-a", "done", 4);
+    assertEquals(List.of(), history.violations(100));
+  }
+
   @Test
   void eachViolationIsFound() {
     for (Case testCase : REJECTED) {
--- a/src/test/java/gladeknot/standin/LoopbackUsers.java
+++ b/src/test/java/gladeknot/standin/LoopbackUsers.java
@@ -101,6 +101,9 @@
         (int) Json.num(spec, "strands", 0),
         Json.text(spec, "owner"),
         ResourceUse.of(Json.real(spec, "cores", 0), Json.real(spec, "accelerators", 0)));
+    if ("ensemble".equals(spec.get("shape"))) {
+      history.submittedAsGang(job);
+    }
     submitUntilAccepted(job);
     pollQueue.add(job);
     if (random.nextInt(CANCEL_ONE_IN) == 0) {
