--- a/src/main/java/gladeknot/quota/QuotaAdmission.java
+++ b/src/main/java/gladeknot/quota/QuotaAdmission.java
@@ -2,8 +2,8 @@
 
 import gladeknot.commit.StartAdmission;
 import gladeknot.tasks.Slice;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.HashSet;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -15,8 +15,11 @@
   private final ShardDeficits deficits;
   private final QuotaCounters counters;
 
-  /** The answers for the present batch: what it leaves out only makes more available. */
-  private final Map<TeamShard, Boolean> covered = new HashMap<>();
+  /** What was asked of the ledger. */
+  private record Question(String team, int shard, boolean withGpus) {}
+
+  /** What the present batch may contain: what it leaves out only makes more available. */
+  private final Set<Question> covered = new HashSet<>();
 
   QuotaAdmission(QuotaLedger ledger, ShardDeficits deficits, QuotaCounters counters) {
     this.ledger = ledger;
@@ -31,13 +34,13 @@
 
   @Override
   public boolean admits(Slice slice) {
-    TeamShard key = new TeamShard(slice.team(), slice.shard());
-    if (covered.getOrDefault(key, false)) {
+    Question question = new Question(slice.team(), slice.shard(), slice.gpus() > 0);
+    if (covered.contains(question)) {
       return true;
     }
     boolean admitted = ledger.coversStarts(slice);
     if (admitted) {
-      covered.put(key, true);
+      covered.add(question);
     } else {
       counters.count(QuotaCounters.Event.STARTS_REFUSED);
       LOG.info(
--- a/src/main/java/gladeknot/quota/QuotaLedger.java
+++ b/src/main/java/gladeknot/quota/QuotaLedger.java
@@ -129,8 +129,11 @@
         && (slice.gpus() == 0 || (unused.gpus() >= 0 && boundsGpus(slice.team())));
   }
 
-  /** Whether a shard's tasks of a team that may be on machines exceed its share. */
+  /** Whether a shard's tasks of a team that may be on machines exceed its share, if it is known. */
   boolean isExceeded(String team, int shard) {
+    if (!settings.teams().containsKey(team)) {
+      return false;
+    }
     ResourceAmount left = share(team, shard).minus(liveUsage(team, shard));
     return left.cpus() < 0 || left.gpus() < 0;
   }
