--- a/src/test/java/gladeknot/standin/FakeStateStore.java
+++ b/src/test/java/gladeknot/standin/FakeStateStore.java
@@ -51,7 +51,7 @@
   private long nowMicros;
   private int maxWrites = WRITES;
   private int maxValueBytes = VALUE_BYTES;
-  private ChangeListener changeListener = (key, value) -> {};
+  private final List<ChangeListener> changeListeners = new ArrayList<>();
   private int rejectedForSize;
   private int commits;
 
@@ -65,9 +65,9 @@
     maxValueBytes = most;
   }
 
-  /** Sets the listener of changes; none at first. */
-  void setChangeListener(ChangeListener listener) {
-    changeListener = listener;
+  /** Adds a listener of changes; none at first. */
+  void addChangeListener(ChangeListener listener) {
+    changeListeners.add(listener);
   }
 
   /** How many transactions were rejected for their size. */
@@ -126,7 +126,7 @@
       keys.put(key, new Value(data, epoch, lease));
     }
     changes.add(new Change(key, data, epoch));
-    changeListener.changed(key, data);
+    changeListeners.forEach(listener -> listener.changed(key, data));
   }
 
   /** The value of a key; null if there is none. */
@@ -139,7 +139,7 @@
   public void overwrite(String key, Map<String, Object> data) {
     epoch++;
     change(key, data, 0);
-    changeListener.transactionCommitted();
+    changeListeners.forEach(ChangeListener::transactionCommitted);
   }
 
   /** All keys with a prefix, in order. */
@@ -279,7 +279,7 @@
       epoch++;
       commits++;
       changed.forEach(this::apply);
-      changeListener.transactionCommitted();
+      changeListeners.forEach(ChangeListener::transactionCommitted);
     }
     return new ServiceResponse(200, Json.of("epoch", epoch));
   }
--- a/src/test/java/gladeknot/standin/History.java
+++ b/src/test/java/gladeknot/standin/History.java
@@ -31,6 +31,7 @@
   private final long cancelMicros;
   private final List<Settings.Team> teams;
   private final StoredQuotaChecker storedQuota;
+  private final StoredSliceChecker storedSlices;
   private final ExecutionIntervals intervals = new ExecutionIntervals();
   private final Map<String, Integer> sizes = new HashMap<>();
   private final Set<String> gangs = new HashSet<>();
@@ -52,6 +53,7 @@
     this.cancelMicros = cancelMicros;
     this.teams = teams;
     this.storedQuota = new StoredQuotaChecker(new TeamLimits(teams), shards, violations::add);
+    this.storedSlices = new StoredSliceChecker(shards, violations::add);
   }
 
   /** Records that a user submits a job with the given number of tasks of one CPU. */
@@ -74,6 +76,7 @@
   @Override
   public synchronized void changed(String key, Map<String, Object> data) {
     storedQuota.changed(key, data);
+    storedSlices.changed(key, data);
     if (!key.startsWith(SLICES) || data == null) {
       return;
     }
@@ -84,6 +87,7 @@
   @Override
   public synchronized void transactionCommitted() {
     storedQuota.transactionCommitted();
+    storedSlices.transactionCommitted();
   }
 
   /** Records that a worker starts an attempt. */
--- a/src/test/java/gladeknot/standin/LoopbackServices.java
+++ b/src/test/java/gladeknot/standin/LoopbackServices.java
@@ -73,7 +73,7 @@
     this.history = history;
     this.scale = scale;
     this.cloud = new FakeCloud(scale.machines(), scale.machineGpus(), BOOT_MICROS);
-    history.ifPresent(observer -> state.setChangeListener(observer));
+    history.ifPresent(observer -> state.addChangeListener(observer));
   }
 
   private static Thread daemon(Runnable run) {
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -82,7 +82,8 @@
     recoveryChecker = new RecoveryChecker(clock, machines, jobs, users, scale, limits, violations);
     returnedMachinesChecker = new ReturnedMachinesChecker(state, violations);
     storedQuotaChecker = new StoredQuotaChecker(limits, count, violations::add);
-    state.setChangeListener(storedQuotaChecker);
+    state.addChangeListener(storedQuotaChecker);
+    state.addChangeListener(new StoredSliceChecker(count, violations::add));
     controllers.startAll(count);
   }
 
--- /dev/null
+++ b/src/test/java/gladeknot/standin/StoredSliceChecker.java
@@ -0,0 +1,122 @@
+package gladeknot.standin;
+
+import gladeknot.jobs.Job;
+import gladeknot.jobs.RecordedJobs;
+import gladeknot.tasks.RecordedSlices;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Checks after each transaction what the state service holds: a slice has one record, and each task
+ * of an active job belongs to one slice, whose shard's owner alone may start it. A shard without a
+ * record of a job has its even share of the tasks.
+ */
+final class StoredSliceChecker implements FakeStateStore.ChangeListener {
+  private static final String SEGMENTS = "g/sl/";
+
+  private final int shards;
+  private final Consumer<String> violations;
+  private final Map<String, Map<String, Object>> segments = new HashMap<>();
+  private final Map<String, Job> activeJobs = new HashMap<>();
+
+  /** By job, the tasks that each segment's record assigns. */
+  private final Map<String, Map<String, BitSet>> assignedByJob = new HashMap<>();
+
+  private final Set<String> changedJobs = new HashSet<>();
+
+  StoredSliceChecker(int shards, Consumer<String> violations) {
+    this.shards = shards;
+    this.violations = violations;
+  }
+
+  @Override
+  public void changed(String key, Map<String, Object> value) {
+    if (key.startsWith(SEGMENTS)) {
+      segmentChanged(key, value == null ? Map.of() : value);
+    } else if (key.startsWith(Job.KEY_PREFIX)) {
+      jobChanged(key.substring(Job.KEY_PREFIX.length()), value);
+    }
+  }
+
+  private void jobChanged(String id, Map<String, Object> value) {
+    activeJobs.remove(id);
+    if (value != null) {
+      RecordedJobs.active(id, value).ifPresent(job -> activeJobs.put(id, job));
+    }
+    changedJobs.add(id);
+  }
+
+  private void segmentChanged(String segment, Map<String, Object> after) {
+    Map<String, Object> before = segments.getOrDefault(segment, Map.of());
+    segments.put(segment, Map.copyOf(after));
+    Set<String> jobs = new HashSet<>(before.keySet());
+    jobs.addAll(after.keySet());
+    for (String job : jobs) {
+      if (!Objects.equals(before.get(job), after.get(job))) {
+        recordChanged(segment, job, after.get(job));
+      }
+    }
+  }
+
+  private void recordChanged(String segment, String job, Object record) {
+    Map<String, BitSet> assigned = assignedByJob.computeIfAbsent(job, id -> new TreeMap<>());
+    if (record == null) {
+      assigned.remove(segment);
+    } else {
+      assigned.put(segment, RecordedSlices.assigned(String.valueOf(record)));
+    }
+    changedJobs.add(job);
+  }
+
+  @Override
+  public void transactionCommitted() {
+    for (String id : changedJobs) {
+      Job job = activeJobs.get(id);
+      if (job != null) {
+        check(job);
+      }
+    }
+    changedJobs.clear();
+  }
+
+  private void check(Job job) {
+    Map<String, BitSet> records = assignedByJob.getOrDefault(job.id(), Map.of());
+    Map<Integer, String> segmentByShard = new HashMap<>();
+    BitSet assigned = new BitSet();
+    for (Map.Entry<String, BitSet> record : records.entrySet()) {
+      String other = segmentByShard.put(RecordedSlices.shardOf(record.getKey()), record.getKey());
+      if (other != null) {
+        violations.accept(
+            "ran_twice: a slice of " + job.id() + " is in " + other + " and " + record.getKey());
+      }
+      add(job, record.getKey(), record.getValue(), assigned);
+    }
+    for (int shard = 0; shard < shards; shard++) {
+      if (!segmentByShard.containsKey(shard)) {
+        BitSet share = RecordedSlices.unrecorded(job, shard, shards);
+        add(job, "no segment of shard " + shard, share, assigned);
+      }
+    }
+  }
+
+  private void add(Job job, String place, BitSet tasks, BitSet assigned) {
+    if (assigned.intersects(tasks)) {
+      BitSet twice = (BitSet) assigned.clone();
+      twice.and(tasks);
+      violations.accept(
+          "ran_twice: tasks "
+              + twice
+              + " of "
+              + job.id()
+              + " are assigned twice, also in "
+              + place);
+    }
+    assigned.or(tasks);
+  }
+}
