A new storage layout comes into force once the watch has reached the revision of its mark

Cause: StorageFormat used the mark as soon as it was in the copy of the state, where a controller's own commits show ahead of what others committed before them. Change: a mark counts from the moment at which the watch has reached its revision, for the first mark, splits, target keys and the compact form alike. Until then the committer, whose transactions would all fail on the former mark, sends none. It holds by a revision: what was committed under the former mark is older than the new one and so in the copy by then; what comes later is conditional on the new one. The log says which mark was committed and comes into force at which revisions.

--- a/src/main/java/gladeknot/app/StateChangeDispatcher.java
+++ b/src/main/java/gladeknot/app/StateChangeDispatcher.java
@@ -27,6 +27,11 @@
     dispatchSlicesAndWorkers(changes);
   }
 
+  @Override
+  public void onRevisionReached() {
+    components.membership.format().onRevisionReached();
+  }
+
   private void dispatchSegments(List<Change> changes) {
     for (Change change : changes) {
       if (isSegment(change)) {
--- a/src/main/java/gladeknot/commit/TransactionCommitter.java
+++ b/src/main/java/gladeknot/commit/TransactionCommitter.java
@@ -16,6 +16,7 @@
  * copy's revision.
  */
 public final class TransactionCommitter {
+  private final Membership membership;
   private final SliceRegistry slices;
   private final PendingChanges pending = new PendingChanges();
   private final CommitState state = new CommitState();
@@ -33,6 +34,7 @@
       JobRegistry jobs,
       SliceRegistry slices,
       TaskTracer tracer) {
+    this.membership = membership;
     this.slices = slices;
     reloader = new SliceReloader(stateStore, membership, jobs, slices, tracer, pending, state);
     BatchLimits limits = new BatchLimits(stateStore, jobs, slices);
@@ -88,7 +90,7 @@
 
   /** Sends the next transaction if none is in flight and there is something to commit. */
   public void flush() {
-    if (!state.ready()) {
+    if (!state.ready() || membership.format().isSuperseded()) {
       return;
     }
     // A slice that was dropped with its job, before its first start was committed, has nothing to
--- a/src/main/java/gladeknot/membership/StorageFormat.java
+++ b/src/main/java/gladeknot/membership/StorageFormat.java
@@ -21,6 +21,11 @@
  * runs, and no transaction that one of them may have sent can still be executed, since each is
  * conditional on a shard's key that has changed since. Every write of slices is conditional on the
  * mark's revision.
+ *
+ * <p>A mark comes into force here once the watch has reached its revision. The copy of the state
+ * shows this controller's own commit earlier, ahead of other controllers' records that were
+ * committed before it under the former layout: until they are seen, the absence of a record under
+ * the new layout says nothing.
  */
 public final class StorageFormat {
   private static final Logger LOG = LoggerFactory.getLogger(StorageFormat.class);
@@ -42,7 +47,13 @@
   private final StateStore stateStore;
   private final TransactionLimits limits;
   private final ShardTable table;
+
+  /** The newest mark in the copy; perhaps not in force yet. */
+  private Entry newestMark;
+
+  /** The mark in force. */
   private Entry mark;
+
   private int segmentSplit = 1;
   private boolean writing;
   private boolean segmentFull;
@@ -64,11 +75,32 @@
     return MembershipKeys.FORMAT;
   }
 
-  /** Takes the mark in from the cache: it is asked for far too often to be decoded each time. */
+  /** The mark has changed in the copy. */
   public void onChange() {
-    mark = stateStore.get(MembershipKeys.FORMAT);
-    segmentFull = false;
+    newestMark = stateStore.get(MembershipKeys.FORMAT);
+    onRevisionReached();
+  }
+
+  /** The watch has reached a new revision: a mark up to it comes into force. */
+  public void onRevisionReached() {
+    boolean reached = newestMark == null || newestMark.modRevision() <= stateStore.revision();
+    if (!isSuperseded() || !reached) {
+      return;
+    }
+    mark = newestMark;
+    // Decoded once: the split is asked for far too often.
     segmentSplit = mark == null ? 1 : MembershipCodec.format(mark).segmentSplit();
+    segmentFull = false;
+    LOG.info(
+        "storage format in force segmentSplit={} mark_revision={} copy_revision={}",
+        segmentSplit,
+        revision(),
+        stateStore.revision());
+  }
+
+  /** Whether the copy shows a newer mark than the one in force: what relies on that would fail. */
+  public boolean isSuperseded() {
+    return newestMark != mark;
   }
 
   /** The revision of the mark on which the other methods rest; 0 while there is none. */
@@ -96,6 +128,9 @@
 
   /** Commits the mark once it may be; the first member in the settings does. */
   void tick(long nowMicros) {
+    if (writing || isSuperseded()) {
+      return;
+    }
     if (agreed()) {
       limits.onAllMembersUpgraded();
       splitFullSegments(nowMicros);
@@ -115,7 +150,7 @@
 
   /** Splits all segments in two; any member may, on condition that no other has. */
   private void splitFullSegments(long nowMicros) {
-    if (!segmentFull || writing || nowMicros < nextSplitMicros || segmentSplit >= MAX_SPLIT) {
+    if (!segmentFull || nowMicros < nextSplitMicros || segmentSplit >= MAX_SPLIT) {
       return;
     }
     if (stateStore.tryAcquireWrites(1, 0)) {
@@ -134,10 +169,13 @@
         outcome -> {
           writing = false;
           LOG.info(
-              "storage format committed format={} segmentSplit={} status={}",
+              "storage format committed format={} segmentSplit={} status={} revision={}"
+                  + " copy_revision={}",
               ANNOUNCED,
               split,
-              outcome.status());
+              outcome.status(),
+              outcome.revision(),
+              stateStore.revision());
         });
   }
 
--- a/src/main/java/gladeknot/state/CacheSynchronizer.java
+++ b/src/main/java/gladeknot/state/CacheSynchronizer.java
@@ -115,7 +115,7 @@
     listed = null;
     listener.onChanges(cache.applyList(complete, listedRevision));
     LOG.info("state loaded revision={} keys={}", cache.revision(), cache.size());
-    barriers.reached(cache.revision());
+    onRevisionReached();
   }
 
   private void backOff() {
@@ -148,6 +148,12 @@
     // Every change of every controller ends a watch: started again at once, watches alone would
     // use up the requests that transactions need.
     nextWatchMicros = nowMicros + WATCH_INTERVAL_MICROS;
+    onRevisionReached();
+  }
+
+  private void onRevisionReached() {
+    // The listener first: what waited for the revision may rely on what it takes in.
+    listener.onRevisionReached();
     barriers.reached(cache.revision());
   }
 }
