Slices are asserted while the controller runs; the copy counts as loaded once the watch has reached the list's last page

Cause: nothing in the program noticed that a task belonged to two slices. A slice that has several records is read from the same one everywhere. CacheSynchronizer and WatchCache as said; nothing waits where all pages are of one revision. At debug a first record and a claim say what they are conditional on.

--- a/src/main/java/gladeknot/app/Controller.java
+++ b/src/main/java/gladeknot/app/Controller.java
@@ -7,6 +7,7 @@
 import gladeknot.policy.Policy;
 import gladeknot.settings.Features;
 import gladeknot.settings.Settings;
+import gladeknot.state.CopyLag;
 import gladeknot.tracing.TaskTracer;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -19,6 +20,7 @@
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
   private static final int RETRY_AFTER_SECONDS = 1;
+  private static final long MICROS_A_MILLI = 1000;
 
   private final ControllerComponents components;
   private final RequestRouter router;
@@ -54,16 +56,39 @@
     return components.quota.violations();
   }
 
-  /** What operators are shown of links, authority and quota; empty without the feature. */
+  /** How often a job was found whose tasks belong to two slices, or a slice to two records. */
+  public long sliceViolations() {
+    return components.lifecycle.sliceViolations();
+  }
+
+  /**
+   * What operators are shown of links, authority, quota, the copy of the state and slices; empty
+   * without the feature.
+   */
   public Map<String, Object> status() {
     Map<String, Object> status =
         components.connectivity.map(ConnectivityMonitor::status).orElse(Map.of());
     if (!status.isEmpty()) {
       status.put("quota", components.quota.status());
+      status.put("copy", copyStatus());
+      status.put("slices", Json.of("violations", sliceViolations()));
     }
     return status;
   }
 
+  private Map<String, Object> copyStatus() {
+    CopyLag lag = components.stateStore.lag();
+    return Json.of(
+        "revision",
+        lag.revision(),
+        "newestCommit",
+        lag.newestCommit(),
+        "revisionsBehind",
+        lag.revisionsBehind(),
+        "longestLagMs",
+        lag.longestMicros() / MICROS_A_MILLI);
+  }
+
   /**
    * Advances the time and does what is due.
    *
--- a/src/main/java/gladeknot/commit/SliceBatcher.java
+++ b/src/main/java/gladeknot/commit/SliceBatcher.java
@@ -13,15 +13,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Adds a slice's changes to a transaction, with all that they are conditional on. */
 final class SliceBatcher {
+  private static final Logger LOG = LoggerFactory.getLogger(SliceBatcher.class);
+
   /** How long a slice whose segment is full starts nothing. */
   private static final long FULL_BACK_OFF_MICROS = 700_000;
 
   /** How long nothing is claimed from a slice whose segment is full. */
   private static final long FULL_CLAIM_BACK_OFF_MICROS = 2_000_000;
 
+  /** How long a slice starts nothing whose tasks belong to another one as well. */
+  private static final long DAMAGED_BACK_OFF_MICROS = 2_000_000;
+
   private final Membership membership;
   private final JobRegistry jobs;
   private final SliceRegistry slices;
@@ -75,6 +83,7 @@
       requireJob(slice, job, batch, keys);
     }
     putClaims(slice, batch, keys);
+    logConditions(slice, batch, keys);
     batch.add(SliceSnapshot.of(slice, key, keys));
   }
 
@@ -101,11 +110,20 @@
     return true;
   }
 
-  /** Whether the quota and the zone constraints of its job allow a slice's uncommitted starts. */
+  /**
+   * Whether the quota and the zone constraints of its job allow a slice's uncommitted starts, and
+   * its tasks belong to no other slice.
+   */
   private boolean startsHold(Slice slice, Job job) {
-    return job == null
-        || !slice.hasUncommittedStarts()
-        || (state.admission().admits(slice) && slices.zoneConstraintsHold(job.spec()));
+    if (job == null || !slice.hasUncommittedStarts()) {
+      return true;
+    }
+    if (!slices.integrity().holds(job)) {
+      // Another slice may have started the same tasks. The monitor of slices reports it.
+      slice.backOffUntil(state.nowMicros() + DAMAGED_BACK_OFF_MICROS);
+      return false;
+    }
+    return state.admission().admits(slice) && slices.zoneConstraintsHold(job.spec());
   }
 
   private static boolean hasLiveAttempts(Slice slice) {
@@ -210,6 +228,26 @@
     }
   }
 
+  /** Logs, for debugging, what a first record or a claim is conditional on. */
+  private void logConditions(Slice slice, TransactionBatch batch, Set<String> keys) {
+    boolean first = slice.storedKey() == null;
+    if (!LOG.isDebugEnabled() || (!first && slice.pendingClaims().isEmpty())) {
+      return;
+    }
+    Map<String, Long> conditions = new TreeMap<>(batch.conditions());
+    conditions.keySet().retainAll(keys);
+    LOG.debug(
+        "slice write decided job={} shard={} first_record={} claims={} conditions={}"
+            + " mark_revision={} copy_revision={}",
+        slice.job(),
+        slice.shard(),
+        first,
+        slice.pendingClaims().values(),
+        conditions,
+        membership.format().revision(),
+        membership.copyRevision());
+  }
+
   private static BitSet without(BitSet all, BitSet claimed) {
     BitSet remaining = (BitSet) all.clone();
     remaining.andNot(claimed);
--- a/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
+++ b/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
@@ -47,6 +47,7 @@
   private final LeaseExpiry leaseExpiry;
   private final SpotReclaims spotReclaims;
   private final JobCompletion completion;
+  private final SliceMonitor sliceMonitor;
   private final long heartbeatTimeoutMicros;
   private long nextCheckMicros;
 
@@ -83,6 +84,7 @@
     leaseExpiry = new LeaseExpiry(membership, slices, workers, attempts);
     spotReclaims = new SpotReclaims(membership, jobs, workers, estimates, attempts);
     completion = new JobCompletion(membership, jobs, slices, committer);
+    sliceMonitor = new SliceMonitor(membership, jobs, slices);
   }
 
   /** Sets what may withhold starts that a former owner of a shard committed. */
@@ -100,6 +102,11 @@
     return false;
   }
 
+  /** How often a job was found whose tasks belong to two slices, or a slice to two records. */
+  public long sliceViolations() {
+    return sliceMonitor.violations();
+  }
+
   /** Requests a scheduling round, since something has changed that may let tasks be placed. */
   public void requestScheduling() {
     scheduling.request();
@@ -129,6 +136,7 @@
   public void tick(long nowMicros, long wallMicros) {
     attempts.setTime(nowMicros);
     killDispatcher.tick(nowMicros);
+    sliceMonitor.tick(nowMicros);
     if (nowMicros < nextCheckMicros) {
       return;
     }
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -115,6 +115,11 @@
     return shards.inDoubt(shard);
   }
 
+  /** The revision that the watch has reached: the copy of the state holds all changes up to it. */
+  public long copyRevision() {
+    return stateStore.revision();
+  }
+
   @Override
   public boolean copyLoaded() {
     return stateStore.loaded();
--- a/src/main/java/gladeknot/state/CacheSynchronizer.java
+++ b/src/main/java/gladeknot/state/CacheSynchronizer.java
@@ -12,6 +12,10 @@
 /**
  * Keeps the watch cache current: lists all keys once, then watches them with long polls. A watch
  * whose starting revision the service has compacted leads to a new list.
+ *
+ * <p>Later pages of a list may show later changes than earlier ones, so that a transaction may show
+ * in one of its keys and not yet in another. The cache counts as loaded once the watch has reached
+ * the revision of the last page.
  */
 final class CacheSynchronizer {
   private static final Logger LOG = LoggerFactory.getLogger(CacheSynchronizer.class);
@@ -33,45 +37,54 @@
   private final StateServiceClient client;
   private final WatchCache cache;
   private final ReadBarriers barriers;
+  private final CopyLag lag;
   private final ChangeListener listener;
   private final RandomGenerator random;
-  private boolean loaded;
+  private boolean listed;
   private boolean listing;
   private boolean watching;
   private long backOffUntilMicros;
   private long nextWatchMicros;
-  private TreeMap<String, Entry> listed;
+  private TreeMap<String, Entry> listedEntries;
+
+  /** The revision of the first page: the cache holds at least all changes up to it. */
   private long listedRevision;
+
+  /** The revision of the last page: the cache may hold changes up to it. */
+  private long lastPageRevision;
+
   private long nowMicros;
 
   CacheSynchronizer(
       StateServiceClient client,
       WatchCache cache,
       ReadBarriers barriers,
+      CopyLag lag,
       ChangeListener listener,
       RandomGenerator random) {
     this.client = client;
     this.cache = cache;
     this.barriers = barriers;
+    this.lag = lag;
     this.listener = listener;
     this.random = random;
   }
 
   /** Whether the cache holds all keys and is being watched. */
   boolean loaded() {
-    return loaded;
+    return listed && cache.revision() >= lastPageRevision;
   }
 
   /** Starts a list or a watch when it is time. */
   void tick(long now) {
     nowMicros = now;
-    if (!loaded && !listing && now >= backOffUntilMicros) {
+    if (!listed && !listing && now >= backOffUntilMicros) {
       listing = true;
-      listed = new TreeMap<>();
+      listedEntries = new TreeMap<>();
       listedRevision = UNKNOWN_REVISION;
       list("");
     }
-    if (loaded && !watching && now >= Math.max(backOffUntilMicros, nextWatchMicros)) {
+    if (listed && !watching && now >= Math.max(backOffUntilMicros, nextWatchMicros)) {
       watch();
     }
   }
@@ -93,13 +106,13 @@
     }
     ListPage page = StateServiceCodec.listPage(reply);
     if (listedRevision < 0) {
-      // Later pages may show later changes; the watch repeats them.
       listedRevision = page.revision();
     }
+    lastPageRevision = page.revision();
     String lastKey = afterKey;
     for (ListedKey item : page.keys()) {
       lastKey = item.key();
-      listed.put(lastKey, item.entry());
+      listedEntries.put(lastKey, item.entry());
     }
     if (page.more() && !lastKey.equals(afterKey)) {
       list(lastKey);
@@ -110,11 +123,15 @@
 
   private void finishList() {
     listing = false;
-    loaded = true;
-    TreeMap<String, Entry> complete = listed;
-    listed = null;
+    listed = true;
+    TreeMap<String, Entry> complete = listedEntries;
+    listedEntries = null;
     listener.onChanges(cache.applyList(complete, listedRevision));
-    LOG.info("state loaded revision={} keys={}", cache.revision(), cache.size());
+    LOG.info(
+        "state loaded revision={} last_page_revision={} keys={}",
+        cache.revision(),
+        lastPageRevision,
+        cache.size());
     onRevisionReached();
   }
 
@@ -135,7 +152,7 @@
   private void onWatchReply(Outbox.Reply reply) {
     watching = false;
     if (reply.status() == StateServiceCodec.COMPACTED) {
-      loaded = false;
+      listed = false;
       return;
     }
     if (reply.status() != StateServiceCodec.OK) {
@@ -152,6 +169,10 @@
   }
 
   private void onRevisionReached() {
+    if (!loaded()) {
+      return;
+    }
+    lag.onRevisionReached(cache.revision());
     // The listener first: what waited for the revision may rely on what it takes in.
     listener.onRevisionReached();
     barriers.reached(cache.revision());
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -33,6 +33,7 @@
   private final StateServiceClient client;
   private final WatchCache cache = new WatchCache();
   private final ReadBarriers barriers = new ReadBarriers();
+  private final CopyLag lag = new CopyLag();
   private final CacheSynchronizer synchronizer;
   private long nowMicros;
 
@@ -43,7 +44,7 @@
     this.limits = new TransactionLimits(settings);
     this.requestLimits = new RequestLimits(settings, limits);
     this.client = new StateServiceClient(settings.stateAddress(), outbox, requestLimits);
-    this.synchronizer = new CacheSynchronizer(client, cache, barriers, listener, random);
+    this.synchronizer = new CacheSynchronizer(client, cache, barriers, lag, listener, random);
   }
 
   /** What transactions and values may hold. */
@@ -61,6 +62,11 @@
     return cache.revision();
   }
 
+  /** How far the watch is behind own commits. */
+  public CopyLag lag() {
+    return lag;
+  }
+
   /** When the cache is known to have been current, in microseconds of the steady clock. */
   public long currentAsOfMicros() {
     return barriers.currentAsOfMicros();
@@ -98,6 +104,7 @@
   /** Advances the time, lists, watches, and reads for the barriers, each when it is time. */
   public void tick(long now) {
     nowMicros = now;
+    lag.tick(now);
     requestLimits.tick(now);
     synchronizer.tick(now);
     if (loaded() && barriers.wantRead(now) && requestLimits.tryAcquireRead()) {
@@ -162,7 +169,10 @@
   private CommitOutcome onCommitReply(Outbox.Reply reply, List<Mutation> mutations) {
     CommitOutcome outcome = TransactionCodec.outcome(reply);
     switch (outcome.status()) {
-      case COMMITTED -> listener.onChanges(cache.applyCommitted(mutations, outcome.revision()));
+      case COMMITTED -> {
+        lag.onCommitted(outcome.revision());
+        listener.onChanges(cache.applyCommitted(mutations, outcome.revision()));
+      }
       case REJECTED -> onRejected(reply, mutations);
       case CONFLICT, UNAVAILABLE, THROTTLED, UNKNOWN -> {
         // Nothing is known to have changed.
--- a/src/main/java/gladeknot/state/WatchCache.java
+++ b/src/main/java/gladeknot/state/WatchCache.java
@@ -57,7 +57,8 @@
     }
     listed.forEach(
         (key, entry) -> {
-          if (entry.modRevision() > modRevision(key)) {
+          // Not what an own transaction has deleted since: the watch doesn't repeat that.
+          if (isNewer(key, entry.modRevision())) {
             set(key, entry, changes);
           }
         });
--- a/src/main/java/gladeknot/tasks/SegmentIndex.java
+++ b/src/main/java/gladeknot/tasks/SegmentIndex.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /** Which segment holds which slice's record, and what has been loaded of each segment. */
 public final class SegmentIndex {
@@ -19,6 +21,12 @@
   /** The keys of the segments that hold the records, by shard and job. */
   private final List<Map<String, String>> segmentKeys = new ArrayList<>();
 
+  /**
+   * Slices with a record in more than one segment, which must never be: the keys of all of them, by
+   * shard and job. The first key in their order counts, so that all controllers agree.
+   */
+  private final List<Map<String, SortedSet<String>>> duplicates = new ArrayList<>();
+
   /** The values from which the slices were loaded, by segment. */
   private final Map<String, PackedValue> loadedValues = new HashMap<>();
 
@@ -29,23 +37,59 @@
     this.stateStore = stateStore;
     for (int shard = 0; shard < shards; shard++) {
       segmentKeys.add(new HashMap<>());
+      duplicates.add(new HashMap<>());
     }
   }
 
   /** Takes in which records a segment holds, before any of them is read. */
   void onSegmentChange(Change change) {
     String key = change.key();
-    Map<String, String> keysByJob = segmentKeys.get(SegmentLayout.shardOf(key));
+    int shard = SegmentLayout.shardOf(key);
     PackedValue before = PackedValue.of(change.before());
     PackedValue now = PackedValue.of(change.after());
     for (String job : before.fieldNames()) {
       if (!now.contains(job)) {
-        keysByJob.remove(job, key);
+        removeRecord(shard, job, key);
       }
     }
     for (String job : now.fieldNames()) {
-      keysByJob.put(job, key);
+      addRecord(shard, job, key);
+    }
+  }
+
+  private void addRecord(int shard, String job, String key) {
+    String other = segmentKeys.get(shard).put(job, key);
+    // A record that moves has left the other segment in the same transaction.
+    if (other == null || other.equals(key) || !value(other).contains(job)) {
+      return;
     }
+    SortedSet<String> keys = duplicates.get(shard).computeIfAbsent(job, id -> new TreeSet<>());
+    keys.add(other);
+    keys.add(key);
+    segmentKeys.get(shard).put(job, keys.first());
+  }
+
+  private void removeRecord(int shard, String job, String key) {
+    SortedSet<String> keys = duplicates.get(shard).get(job);
+    if (keys == null) {
+      segmentKeys.get(shard).remove(job, key);
+      return;
+    }
+    keys.remove(key);
+    segmentKeys.get(shard).put(job, keys.first());
+    if (keys.size() == 1) {
+      duplicates.get(shard).remove(job);
+    }
+  }
+
+  /** Whether a slice has a record in more than one segment. */
+  boolean hasDuplicates(int shard, String job) {
+    return duplicates.get(shard).containsKey(job);
+  }
+
+  /** The segments that hold a record of a slice, if there are several; empty otherwise. */
+  SortedSet<String> duplicates(int shard, String job) {
+    return duplicates.get(shard).getOrDefault(job, new TreeSet<>());
   }
 
   /** Reports the slices whose records in a segment differ from those last loaded or written. */
--- a/src/main/java/gladeknot/tasks/SliceRecord.java
+++ b/src/main/java/gladeknot/tasks/SliceRecord.java
@@ -53,6 +53,11 @@
         AttemptCodec.read(fields[ATTEMPTS]));
   }
 
+  /** The tasks that a stored record assigns, without reading the rest of it. */
+  static BitSet assignedIn(String text) {
+    return TaskRanges.parse(text.split(SEPARATOR_PATTERN, ASSIGNED + 2)[ASSIGNED]);
+  }
+
   /** The record's text; {@code compact} chooses the form of the attempts. */
   String encode(boolean compact) {
     return String.join(
--- a/src/main/java/gladeknot/tasks/SliceRegistry.java
+++ b/src/main/java/gladeknot/tasks/SliceRegistry.java
@@ -7,9 +7,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.IntSupplier;
 
 /** All slices of jobs that are active or still have tasks on machines. */
@@ -20,6 +22,11 @@
   private final SegmentCapacity capacity;
   private final ZoneConstraints zones;
   private final HostDirectory hosts;
+  private final SliceIntegrity integrity;
+
+  /** The jobs whose slices were loaded since this was asked last. */
+  private final Set<String> loadedJobs = new HashSet<>();
+
   private final List<Map<String, Slice>> byShard = new ArrayList<>();
   private long nowMicros;
 
@@ -36,6 +43,7 @@
     this.capacity = new SegmentCapacity(layout, stateStore, segments);
     this.zones = new ZoneConstraints(hosts);
     this.hosts = hosts;
+    this.integrity = new SliceIntegrity(shards, segments);
     for (int shard = 0; shard < shards; shard++) {
       byShard.add(new HashMap<>());
     }
@@ -51,6 +59,18 @@
     return segments;
   }
 
+  /** What every start of a task relies on. */
+  public SliceIntegrity integrity() {
+    return integrity;
+  }
+
+  /** The jobs whose slices were loaded since the last call. */
+  public Set<String> takeLoadedJobs() {
+    Set<String> taken = Set.copyOf(loadedJobs);
+    loadedJobs.clear();
+    return taken;
+  }
+
   /** The slices of a shard; not to be changed. */
   public Collection<Slice> inShard(int shard) {
     return byShard.get(shard).values();
@@ -123,6 +143,7 @@
    * @return empty if the shard has no slice of the job
    */
   public Optional<Slice> load(int shard, String id, Job job) {
+    loadedJobs.add(id);
     SegmentIndex.StoredRecord stored = segments.find(shard, id).orElse(null);
     Slice slice = get(shard, id);
     boolean active = job != null && job.active();
--- a/src/test/java/gladeknot/standin/LoopbackSoak.java
+++ b/src/test/java/gladeknot/standin/LoopbackSoak.java
@@ -30,7 +30,12 @@
 
   /** What a controller logs when it has found a fault of its own. */
   private static final List<String> LOGGED_FAULTS =
-      List.of("quota share violated", "quota record violated", "event failed", "OutOfMemoryError");
+      List.of(
+          "quota share violated",
+          "quota record violated",
+          "slice integrity violated",
+          "event failed",
+          "OutOfMemoryError");
 
   /** One in so many seeds has a few hundred machines. */
   private static final int LARGE_ONE_IN = 6;
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -103,7 +103,7 @@
     cloud.advance(clock.now());
     clock.runDueEvents();
     controllers.tick();
-    controllers.checkQuota(violations);
+    controllers.checkAssertions(violations);
     machines.advance(heartbeats);
     executionChecker.check();
     if (clock.isMultipleOf(SECOND)) {
--- a/src/test/java/gladeknot/standin/SimulatedControllers.java
+++ b/src/test/java/gladeknot/standin/SimulatedControllers.java
@@ -149,11 +149,14 @@
   }
 
   /** Adds what controllers that are up have found of exceeded quota. */
-  void checkQuota(Violations violations) {
+  void checkAssertions(Violations violations) {
     for (int i = 0; i < nodes.size(); i++) {
       if (nodes.get(i).up && nodes.get(i).controller.quotaViolations() > 0) {
         violations.add("quota: found exceeded by controller " + i);
       }
+      if (nodes.get(i).up && nodes.get(i).controller.sliceViolations() > 0) {
+        violations.add("ran_twice: slices found violated by controller " + i);
+      }
     }
   }
 
--- /dev/null
+++ b/src/test/java/gladeknot/state/PagedListTest.java
@@ -0,0 +1,98 @@
+package gladeknot.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladeknot.json.Json;
+import gladeknot.outbox.Outbox;
+import gladeknot.standin.ClusterScale;
+import gladeknot.standin.ClusterSettings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The list of all keys comes in pages, of which later ones may be newer: a transaction between two
+ * pages shows in one of its keys and not yet in the other. A controller that acted on such a copy
+ * could take a record for one of a job that is not known, or miss the slice that a task went to.
+ */
+class PagedListTest {
+  private static final long SECOND = 1_000_000;
+
+  private final Outbox outbox = new Outbox();
+  private final List<String> reached = new ArrayList<>();
+  private final StateStore store =
+      new StateStore(
+          ClusterSettings.of(0, 3, ClusterScale.SMALL),
+          outbox,
+          new SplittableRandom(1),
+          new ChangeListener() {
+            @Override
+            public void onChanges(List<Change> changes) {}
+
+            @Override
+            public void onRevisionReached() {
+              reached.add("reached " + store().revision());
+            }
+          });
+  private long now = SECOND;
+
+  private StateStore store() {
+    return store;
+  }
+
+  @Test
+  void theCopyCountsAsLoadedOnceTheWatchHasReachedTheLastPage() {
+    // given
+    answerList(page(10, true, "g/job/1"));
+    answerList(page(12, false, "g/sl/0/a1"));
+    assertFalse(store.loaded());
+    store.whenRevisionReached(10, () -> reached.add("waiter"));
+    assertEquals(List.of(), reached);
+    // when
+    Outbox.Call watch = nextCall("/follow");
+    outbox.reply(watch.id(), ok(Json.of("epoch", 12, "events", List.of())));
+    // then
+    assertTrue(store.loaded());
+    assertEquals(List.of("reached 12", "waiter"), reached);
+  }
+
+  @Test
+  void pagesOfOneRevisionNeedNoWatch() {
+    // when
+    answerList(page(10, true, "g/job/1"));
+    answerList(page(10, false, "g/sl/0/a1"));
+    // then
+    assertTrue(store.loaded());
+    assertEquals(List.of("reached 10"), reached);
+  }
+
+  private void answerList(Map<String, Object> page) {
+    outbox.reply(nextCall("/kv?").id(), ok(page));
+  }
+
+  private Outbox.Call nextCall(String path) {
+    for (int i = 0; i < 10; i++) {
+      now += SECOND;
+      store.tick(now);
+      for (Outbox.Call call : outbox.drainCalls()) {
+        if (call.path().startsWith(path)) {
+          return call;
+        }
+      }
+    }
+    throw new IllegalStateException("no call of " + path);
+  }
+
+  private static Map<String, Object> page(long revision, boolean more, String key) {
+    List<Object> items = List.of(Json.of("path", key, "data", Json.of("n", 1), "stamp", revision));
+    return Json.of("items", items, "more", more, "epoch", revision);
+  }
+
+  private static Outbox.Reply ok(Map<String, Object> body) {
+    return new Outbox.Reply(200, Json.bytes(body));
+  }
+}
