Quota: a record says itself whether it bounds what a team uses

Change: QuotaRecord.boundsCpus and boundsGpus; the method without a caller is gone. Behaviour as before.

--- a/src/main/java/gladeknot/quota/QuotaAllocator.java
+++ b/src/main/java/gladeknot/quota/QuotaAllocator.java
@@ -60,11 +60,6 @@
     this.correction = new ShareCorrection(membership, ledger, changes, deficits, counters);
   }
 
-  /** What a shard's tasks of a team use; a task counts until its end is committed. */
-  public ResourceAmount usage(String team, int shard) {
-    return ledger.usage(team, shard);
-  }
-
   /** What a shard may still start for a team; less than nothing if its share is exceeded. */
   public ResourceAmount available(String team, int shard) {
     return ledger.available(team, shard);
--- a/src/main/java/gladeknot/quota/QuotaLedger.java
+++ b/src/main/java/gladeknot/quota/QuotaLedger.java
@@ -143,9 +143,7 @@
     Settings.Team limits = settings.teams().get(team);
     return limits == null
         || !limits.limitsCpus()
-        || record(team)
-            .filter(record -> record.isProven() && record.sum().cpus() <= limits.cpusMax())
-            .isPresent();
+        || record(team).filter(record -> record.boundsCpus(limits)).isPresent();
   }
 
   /** The same for GPUs. */
@@ -153,9 +151,7 @@
     Settings.Team limits = settings.teams().get(team);
     return limits == null
         || !limits.limitsGpus()
-        || record(team)
-            .filter(record -> record.isProven() && record.sum().gpus() <= limits.gpusMax())
-            .isPresent();
+        || record(team).filter(record -> record.boundsGpus(limits)).isPresent();
   }
 
   /** What a team may still start over all shards, transfers under way included. */
--- a/src/main/java/gladeknot/quota/QuotaMonitor.java
+++ b/src/main/java/gladeknot/quota/QuotaMonitor.java
@@ -51,7 +51,7 @@
   }
 
   private void checkRecord(Settings.Team team, QuotaRecord record) {
-    if (isBounded(team, record)) {
+    if (record.boundsCpus(team) && record.boundsGpus(team)) {
       unboundedRecords.remove(team.name());
     } else if (unboundedRecords.add(team.name())) {
       counters.count(QuotaCounters.Event.RECORD_VIOLATIONS);
@@ -68,15 +68,6 @@
     }
   }
 
-  private static boolean isBounded(Settings.Team team, QuotaRecord record) {
-    if (!team.limitsCpus() && !team.limitsGpus()) {
-      return true;
-    }
-    return record.isProven()
-        && (!team.limitsCpus() || record.sum().cpus() <= team.cpusMax())
-        && (!team.limitsGpus() || record.sum().gpus() <= team.gpusMax());
-  }
-
   private void checkShare(String team, int shard) {
     ResourceAmount share = ledger.share(team, shard);
     ResourceAmount used = ledger.usage(team, shard);
--- a/src/main/java/gladeknot/quota/QuotaRecord.java
+++ b/src/main/java/gladeknot/quota/QuotaRecord.java
@@ -1,5 +1,6 @@
 package gladeknot.quota;
 
+import gladeknot.settings.Settings;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -40,6 +41,16 @@
     return shares.stream().allMatch(Optional::isPresent);
   }
 
+  /** Whether the shares bound the CPUs that a team's tasks use, if it has a limit of them. */
+  boolean boundsCpus(Settings.Team team) {
+    return !team.limitsCpus() || (isProven() && sum().cpus() <= team.cpusMax());
+  }
+
+  /** The same for GPUs. */
+  boolean boundsGpus(Settings.Team team) {
+    return !team.limitsGpus() || (isProven() && sum().gpus() <= team.gpusMax());
+  }
+
   /** The sum of the proven shares. */
   ResourceAmount sum() {
     ResourceAmount sum = ResourceAmount.NONE;
