Soak on real processes: segments are split while watches lag, the state service is slow, owners change in turn

Cause: the soak could not bring the incident about: values of 8 KiB never filled a segment, and a watch lagged only with all else. Change: every odd seed has values of 1 KiB, nine machines, many small tasks that fill segments and large ones that wait for room and are claimed; answers to one controller's watches held back by 0.1 to 3 s; a slow state service with 429; kills of all controllers in turn. "Each shard with its home" stands once, in LoopbackCluster.

--- a/src/test/java/gladeknot/app/PartialCutsLoopbackTest.java
+++ b/src/test/java/gladeknot/app/PartialCutsLoopbackTest.java
@@ -61,7 +61,7 @@
   @Test
   void everyJobEndsOnceWhicheverDirectionFails() throws Exception {
     try (LoopbackCluster cluster = new LoopbackCluster(dir, CONTROLLERS, true)) {
-      await("each shard with its home", 40, () -> homeOwnsAll(cluster));
+      await("each shard with its home", 40, () -> cluster.eachShardHasItsHome());
       LoopbackUsers users =
           new LoopbackUsers(
               cluster.services().nodes(), cluster.history(), SEED, SUBMIT_INTERVAL_MILLIS);
@@ -83,15 +83,6 @@
     }
   }
 
-  private static boolean homeOwnsAll(LoopbackCluster cluster) {
-    for (int i = 0; i < CONTROLLERS; i++) {
-      if (!("node-" + i).equals(cluster.owner(i))) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   private static void passAllTraffic(LoopbackCluster cluster) {
     for (int i = 0; i < CONTROLLERS; i++) {
       for (Direction direction : Direction.values()) {
--- a/src/test/java/gladeknot/app/SoakLoopbackTest.java
+++ b/src/test/java/gladeknot/app/SoakLoopbackTest.java
@@ -19,7 +19,7 @@
   private static final Path DIR = Path.of("target", "soak");
 
   @ParameterizedTest
-  @ValueSource(longs = {101, 103})
+  @ValueSource(longs = {101, 103, 104})
   void allRulesHold(long seed) {
     Path dir = DIR.resolve("test-seed-" + seed);
     assertEquals(List.of(), LoopbackSoak.problemsOf(dir, seed, FAULT_MILLIS));
--- a/src/test/java/gladeknot/standin/LoopbackCluster.java
+++ b/src/test/java/gladeknot/standin/LoopbackCluster.java
@@ -1,5 +1,6 @@
 package gladeknot.standin;
 
+import gladeknot.json.Json;
 import gladeknot.standin.DirectionalProxy.Direction;
 import gladeknot.standin.DirectionalProxy.Mode;
 import java.io.File;
@@ -8,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -125,6 +127,22 @@
     return key == null ? null : String.valueOf(key.get("owner"));
   }
 
+  /** Returns whether each shard is owned by the controller that has it while all is well. */
+  public boolean eachShardHasItsHome() {
+    for (int shard = 0; shard < processes.size(); shard++) {
+      if (!("node-" + shard).equals(owner(shard))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns into how many segments each one of the first layout is split. */
+  public long segmentSplit() {
+    Map<String, Object> mark = services.stateOf("g/format");
+    return mark == null ? 1 : Json.num(mark, "split", 1);
+  }
+
   /** Returns what users, workers and the state service observed. */
   public History history() {
     return history;
--- a/src/test/java/gladeknot/standin/LoopbackFaults.java
+++ b/src/test/java/gladeknot/standin/LoopbackFaults.java
@@ -61,10 +61,10 @@
 
   /** Ends all faults. */
   void endAll() throws IOException, InterruptedException {
-    for (Active fault : List.copyOf(active)) {
-      fault.end().run();
+    while (!active.isEmpty()) {
+      // The end of a fault may begin another one.
+      active.remove(0).end().run();
     }
-    active.clear();
     cluster.services().stateFaults().clear();
     log.add(elapsed() + " s: all faults have ended");
   }
@@ -80,7 +80,7 @@
 
   private void begin() throws IOException, InterruptedException {
     int node = random.nextInt(controllers);
-    switch (random.nextInt(16)) {
+    switch (random.nextInt(20)) {
       case 0, 1 -> kill(node, random.nextLong(50, 900));
       case 2 -> kill(node, random.nextLong(2_000, 9_000));
       case 3 -> killAll(random.nextLong(100, 7_000));
@@ -95,6 +95,9 @@
       case 12 -> late(random.nextLong(500, 4_000));
       case 13 -> ofMachines("frozen", 4, random.nextLong(500, 8_000), LoopbackWorker::freezeFor);
       case 14 -> cutZone(random.nextLong(1_000, 9_000));
+      case 15, 16 -> delayWatch(node, random.nextLong(2_000, 9_000));
+      case 17 -> slowState(random.nextLong(1_000, 8_000));
+      case 18 -> killInTurn(random.nextLong(150, 900));
       default -> lateMessages(random.nextLong(2_000, 8_000));
     }
   }
@@ -112,6 +115,26 @@
     }
   }
 
+  /** Ends the controllers one after the other, each as the one before returns. */
+  private void killInTurn(long millis) throws IOException, InterruptedException {
+    int first = random.nextInt(controllers);
+    killNext(first, controllers, millis);
+  }
+
+  private void killNext(int node, int left, long millis) throws IOException, InterruptedException {
+    if (left == 0 || !busyNodes.add(node)) {
+      return;
+    }
+    cluster.kill(node);
+    last(
+        "kill node-" + node + " in turn",
+        millis,
+        () -> {
+          start(node);
+          killNext((node + 1) % controllers, left - 1, millis);
+        });
+  }
+
   private void start(int node) throws IOException {
     cluster.start(node);
     busyNodes.remove(node);
@@ -172,6 +195,22 @@
     last("state outage", millis, () -> faults.outage(false));
   }
 
+  private void delayWatch(int node, long millis) {
+    StateServiceFaults faults = cluster.services().stateFaults();
+    long delayMillis = random.nextLong(100, 3_000);
+    faults.delayWatch(node, delayMillis);
+    last(
+        "watch of node-" + node + " held back by " + delayMillis + " ms",
+        millis,
+        () -> faults.delayWatch(node, 0));
+  }
+
+  private void slowState(long millis) {
+    StateServiceFaults faults = cluster.services().stateFaults();
+    faults.slow(true);
+    last("slow state service with 429", millis, () -> faults.slow(false));
+  }
+
   private void unanswered(long millis) {
     StateServiceFaults faults = cluster.services().stateFaults();
     faults.unansweredShare(0.3);
--- a/src/test/java/gladeknot/standin/LoopbackServices.java
+++ b/src/test/java/gladeknot/standin/LoopbackServices.java
@@ -73,6 +73,7 @@
     this.history = history;
     this.scale = scale;
     this.cloud = new FakeCloud(scale.machines(), scale.machineGpus(), BOOT_MICROS);
+    state.limitValueBytes(scale.valueBytes());
     history.ifPresent(observer -> state.addChangeListener(observer));
   }
 
@@ -141,6 +142,7 @@
     if (stateFaults.refuses(node)) {
       return new ServiceResponse(503, Json.of());
     }
+    pause(stateFaults.slowMillis());
     if (uri.equals("/commit")) {
       return serveTransaction(method, uri, body);
     }
@@ -171,6 +173,9 @@
   private ServiceResponse serveTransaction(String method, String uri, byte[] body)
       throws IOException {
     switch (stateFaults.fateOfTransaction()) {
+      case THROTTLED -> {
+        return new ServiceResponse(429, Json.of());
+      }
       case CARRIED_OUT_UNANSWERED -> {
         serveNow(method, uri, body);
         throw new IOException("the answer is lost");
@@ -194,9 +199,17 @@
     }
   }
 
-  /** Open watches stay open through an outage, and wait. */
+  /** Answers a watch, perhaps late: with what had changed when it would have been answered. */
   private ServiceResponse serveWatch(int node, String method, String uri, byte[] body)
       throws IOException {
+    ServiceResponse response = awaitChange(node, method, uri, body);
+    pause(stateFaults.watchDelayMillis(node));
+    return response;
+  }
+
+  /** Open watches stay open through an outage, and wait. */
+  private ServiceResponse awaitChange(int node, String method, String uri, byte[] body)
+      throws IOException {
     long until = now() + Long.parseLong(FakeStateStore.query(uri).get("waitMs")) * 1000;
     long from = Long.parseLong(FakeStateStore.query(uri).get("from"));
     while (true) {
@@ -332,7 +345,10 @@
       int asking = i;
       String state = listen((method, uri, body) -> serveState(asking, method, uri, body));
       text.append("state = \"" + links.address(self + ">state", state) + "\"\n");
-      text.append(CLUSTER_BEGIN).append(scale.teamSettings()).append(CLUSTER_END);
+      text.append(CLUSTER_BEGIN)
+          .append(scale.teamSettings())
+          .append(scale.stateSettings())
+          .append(CLUSTER_END);
       Files.writeString(dir.resolve(self + ".toml"), text);
     }
     threads.execute(this::runWorkers);
@@ -364,11 +380,6 @@
       gang_wait_s = 30.0
       gang_peer_s = 6.0
       cancel_s = 20.0
-      [cluster.state]
-      rps = 200.0
-      write_rps = 80.0
-      value_kb = 8.0
-      txn_ops = 12
       [cluster.cloud]
       rps = 6.0
       list_lag_s = 5.0
--- a/src/test/java/gladeknot/standin/LoopbackSoak.java
+++ b/src/test/java/gladeknot/standin/LoopbackSoak.java
@@ -23,6 +23,9 @@
   private static final int CONTROLLERS = 3;
   private static final int USERS = 3;
   private static final long SUBMIT_INTERVAL_MILLIS = 250;
+  private static final long SHORT_SUBMIT_INTERVAL_MILLIS = 50;
+  private static final long WARM_UP_MILLIS = 5_000;
+  private static final long LARGE_WARM_UP_MILLIS = 12_000;
   private static final long READY_MILLIS = 60_000;
   private static final long SETTLE_MILLIS = 150_000;
   private static final long STEP_MILLIS = 500;
@@ -37,6 +40,14 @@
           "event failed",
           "OutOfMemoryError");
 
+  private static final double SMALL_VALUE_KILOBYTES = 1.0;
+
+  /** Many of these fill the segments. */
+  private static final double SMALL_CPUS = 0.02;
+
+  /** These wait for room and are claimed where there is some. */
+  private static final double LARGE_CPUS = 2.5;
+
   /** One in so many seeds has a few hundred machines. */
   private static final int LARGE_ONE_IN = 6;
 
@@ -50,6 +61,18 @@
               new Settings.Team("lab", 4_000, 0, 4_000, 8_000)),
           TASK_MICROS);
 
+  /** Small values of the state service: segments are split several times as work comes. */
+  private static final LoopbackScale SPLITTING =
+      new LoopbackScale(
+          9,
+          2,
+          List.of(
+              new Settings.Team("dev", 8_000, 24_000, 0, 0),
+              new Settings.Team("ops", 6_000, 18_000, 2_000, 6_000),
+              new Settings.Team("lab", 4_000, 0, 4_000, 8_000)),
+          10_000_000,
+          SMALL_VALUE_KILOBYTES);
+
   private static final LoopbackScale LARGE =
       new LoopbackScale(
           260,
@@ -77,6 +100,11 @@
     return Math.floorMod(seed, LARGE_ONE_IN) == 0;
   }
 
+  /** Whether a seed has small values of the state service, so that segments are split. */
+  public static boolean isSplitting(long seed) {
+    return seed % 2 != 0;
+  }
+
   /**
    * Plays the seed; returns what was broken, nothing if all held. The schedule, the logs and the
    * problems stay in the folder if there are any.
@@ -84,7 +112,7 @@
   public List<String> run() throws IOException, InterruptedException {
     deleteFiles();
     Files.createDirectories(dir);
-    LoopbackScale scale = isLarge(seed) ? LARGE : USUAL;
+    LoopbackScale scale = scale(seed);
     List<String> schedule;
     try (LoopbackCluster cluster = new LoopbackCluster(dir, CONTROLLERS, false, scale)) {
       schedule = play(cluster);
@@ -98,6 +126,13 @@
     return problems;
   }
 
+  private static LoopbackScale scale(long seed) {
+    if (isLarge(seed)) {
+      return LARGE;
+    }
+    return isSplitting(seed) ? SPLITTING : USUAL;
+  }
+
   private void deleteFiles() throws IOException {
     if (Files.exists(dir)) {
       try (Stream<Path> files = Files.walk(dir)) {
@@ -109,13 +144,13 @@
   }
 
   private List<String> play(LoopbackCluster cluster) throws IOException, InterruptedException {
-    if (!await(READY_MILLIS, () -> eachShardHasItsHome(cluster))) {
+    if (!await(READY_MILLIS, () -> cluster.eachShardHasItsHome())) {
       problems.add("not ready: the shards have no owners");
       return List.of();
     }
     List<LoopbackUsers> users = newUsers(cluster);
     List<Thread> threads = users.stream().map(LoopbackSoak::startThread).toList();
-    LoopbackServices.pause(isLarge(seed) ? 12_000 : 5_000);
+    LoopbackServices.pause(isLarge(seed) ? LARGE_WARM_UP_MILLIS : WARM_UP_MILLIS);
     LoopbackFaults faults = new LoopbackFaults(cluster, CONTROLLERS, seed);
     long until = LoopbackServices.now() + faultMillis * 1000;
     while (LoopbackServices.now() < until) {
@@ -140,14 +175,18 @@
               cluster.services().nodes(),
               cluster.history(),
               seed * USERS + i,
-              SUBMIT_INTERVAL_MILLIS,
+              isSplitting(seed) ? SHORT_SUBMIT_INTERVAL_MILLIS : SUBMIT_INTERVAL_MILLIS,
               "u" + i + "x",
-              isLarge(seed) && i == 0 ? LoopbackSoak::largeJob : LoopbackSoak::job,
+              isLarge(seed) && i == 0 ? LoopbackSoak::largeJob : jobMix(),
               true));
     }
     return users;
   }
 
+  private LoopbackUsers.JobMix jobMix() {
+    return isSplitting(seed) ? LoopbackSoak::smallOrWaitingJob : LoopbackSoak::job;
+  }
+
   private static Thread startThread(LoopbackUsers users) {
     Thread thread = new Thread(users, "users");
     thread.setDaemon(true);
@@ -170,6 +209,19 @@
     return job;
   }
 
+  /** Small tasks in numbers that fill segments, or large ones that wait for room. */
+  private static Map<String, Object> smallOrWaitingJob(String id, SplittableRandom random) {
+    boolean small = random.nextInt(3) > 0;
+    String shape =
+        List.of("service", "array", "service", small ? "ensemble" : "array").get(random.nextInt(4));
+    int most = !small ? 3 : shape.equals("array") ? 400 : 12;
+    Map<String, Object> job = TestJobs.job(id, shape, 1 + random.nextInt(most));
+    job.put("owner", List.of("dev", "ops", "lab").get(random.nextInt(3)));
+    job.put("cores", small ? SMALL_CPUS : LARGE_CPUS);
+    job.put("memoryGb", small ? SMALL_CPUS : 1.0);
+    return job;
+  }
+
   /** Arrays whose tasks take most of a machine each, so that hundreds of machines are rented. */
   private static Map<String, Object> largeJob(String id, SplittableRandom random) {
     Map<String, Object> job = TestJobs.job(id, "array", 60 + random.nextInt(60));
@@ -217,6 +269,11 @@
   }
 
   private void check(LoopbackCluster cluster) throws IOException {
+    long split = cluster.segmentSplit();
+    System.out.printf("seed %d: segments were split into %d%n", seed, split);
+    if (isSplitting(seed) && split < 2) {
+      problems.add("no segment was split");
+    }
     problems.addAll(cluster.history().violations(LoopbackServices.now()));
     for (int node = 0; node < CONTROLLERS; node++) {
       if (!cluster.isRunning(node)) {
@@ -234,15 +291,6 @@
     }
   }
 
-  private static boolean eachShardHasItsHome(LoopbackCluster cluster) {
-    for (int i = 0; i < CONTROLLERS; i++) {
-      if (!("node-" + i).equals(cluster.owner(i))) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   private interface Condition {
     boolean holds();
   }
--- a/src/test/java/gladeknot/standin/StateServiceFaults.java
+++ b/src/test/java/gladeknot/standin/StateServiceFaults.java
@@ -1,5 +1,6 @@
 package gladeknot.standin;
 
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -13,10 +14,17 @@
   enum Fate {
     ANSWERED,
     CARRIED_OUT_UNANSWERED,
-    CARRIED_OUT_LATE
+    CARRIED_OUT_LATE,
+    THROTTLED
   }
 
+  private static final long MIN_SLOW_MILLIS = 40;
+  private static final long MAX_SLOW_MILLIS = 300;
+  private static final double THROTTLED_SHARE = 0.15;
+
   private final Set<Integer> refused = ConcurrentHashMap.newKeySet();
+  private final Map<Integer, Long> watchDelays = new ConcurrentHashMap<>();
+  private volatile boolean slow;
   private volatile boolean outage;
   private volatile double unansweredShare;
   private volatile double lateShare;
@@ -45,8 +53,20 @@
     lateShare = share;
   }
 
+  /** All calls take longer, and a share of the transactions is refused with 429. */
+  public void slow(boolean on) {
+    slow = on;
+  }
+
+  /** Answers to a controller's watches come so much later; all its other calls pass. */
+  public void delayWatch(int node, long millis) {
+    watchDelays.put(node, millis);
+  }
+
   /** Ends all faults. */
   public void clear() {
+    slow = false;
+    watchDelays.clear();
     refused.clear();
     outage = false;
     unansweredShare = 0;
@@ -62,13 +82,25 @@
   }
 
   Fate fateOfTransaction() {
-    double drawn = ThreadLocalRandom.current().nextDouble();
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    if (slow && random.nextDouble() < THROTTLED_SHARE) {
+      return Fate.THROTTLED;
+    }
+    double drawn = random.nextDouble();
     if (drawn < unansweredShare) {
       return Fate.CARRIED_OUT_UNANSWERED;
     }
     return drawn < unansweredShare + lateShare ? Fate.CARRIED_OUT_LATE : Fate.ANSWERED;
   }
 
+  long slowMillis() {
+    return slow ? ThreadLocalRandom.current().nextLong(MIN_SLOW_MILLIS, MAX_SLOW_MILLIS) : 0;
+  }
+
+  long watchDelayMillis(int node) {
+    return watchDelays.getOrDefault(node, 0L);
+  }
+
   long lateMillis() {
     return ThreadLocalRandom.current().nextLong(MIN_LATE_MILLIS, MAX_LATE_MILLIS);
   }
