--- a/src/main/java/gladeknot/commit/SliceBatcher.java
+++ b/src/main/java/gladeknot/commit/SliceBatcher.java
@@ -60,6 +60,11 @@
    * segments, the slice is reloaded instead, which drops its uncommitted starts and claims.
    */
   void add(Slice slice, TransactionBatch batch) {
+    if (slice.needsMigration() && hasRecordAtTarget(slice)) {
+      // A second record, left by a version before: moving this one would overwrite its attempts.
+      reloader.reload(slice);
+      return;
+    }
     Job job = jobs.active(slice.job());
     if (job == null) {
       dropUncommittedStarts(slice);
@@ -87,6 +92,10 @@
     batch.add(SliceSnapshot.of(slice, key, keys));
   }
 
+  private boolean hasRecordAtTarget(Slice slice) {
+    return slices.segments().value(slice.targetKey()).contains(slice.job());
+  }
+
   /** Starts of a job that has ended are not committed any more. */
   private void dropUncommittedStarts(Slice slice) {
     for (Attempt attempt : List.copyOf(slice.attemptsByTask().values())) {
@@ -120,7 +129,9 @@
     }
     if (!slices.integrity().holds(job)) {
       // Another slice may have started the same tasks. The monitor of slices reports it.
-      slice.backOffUntil(state.nowMicros() + DAMAGED_BACK_OFF_MICROS);
+      long untilMicros = state.nowMicros() + DAMAGED_BACK_OFF_MICROS;
+      slice.backOffUntil(untilMicros);
+      slice.pendingClaims().keySet().forEach(from -> from.backOffUntil(untilMicros));
       return false;
     }
     return state.admission().admits(slice) && slices.zoneConstraintsHold(job.spec());
--- a/src/main/java/gladeknot/tasks/SegmentIndex.java
+++ b/src/main/java/gladeknot/tasks/SegmentIndex.java
@@ -16,6 +16,7 @@
   /** A slice's record and the key of the segment that holds it. */
   record StoredRecord(String segmentKey, String text) {}
 
+  private final SegmentLayout layout;
   private final StateStore stateStore;
 
   /** The keys of the segments that hold the records, by shard and job. */
@@ -23,7 +24,7 @@
 
   /**
    * Slices with a record in more than one segment, which must never be: the keys of all of them, by
-   * shard and job. The first key in their order counts, so that all controllers agree.
+   * shard and job.
    */
   private final List<Map<String, SortedSet<String>>> duplicates = new ArrayList<>();
 
@@ -33,7 +34,8 @@
   /** The present values as far as they were asked for, whose sizes are worked out once. */
   private final Map<String, PackedValue> values = new HashMap<>();
 
-  SegmentIndex(int shards, StateStore stateStore) {
+  SegmentIndex(int shards, SegmentLayout layout, StateStore stateStore) {
+    this.layout = layout;
     this.stateStore = stateStore;
     for (int shard = 0; shard < shards; shard++) {
       segmentKeys.add(new HashMap<>());
@@ -66,7 +68,6 @@
     SortedSet<String> keys = duplicates.get(shard).computeIfAbsent(job, id -> new TreeSet<>());
     keys.add(other);
     keys.add(key);
-    segmentKeys.get(shard).put(job, keys.first());
   }
 
   private void removeRecord(int shard, String job, String key) {
@@ -82,6 +83,11 @@
     }
   }
 
+  private String select(SortedSet<String> keys, int shard, String job) {
+    String target = layout.key(shard, SegmentLayout.holdsUnsplitJobs(keys.first()), job);
+    return keys.contains(target) ? target : keys.first();
+  }
+
   /** Whether a slice has a record in more than one segment. */
   boolean hasDuplicates(int shard, String job) {
     return duplicates.get(shard).containsKey(job);
@@ -140,9 +146,13 @@
     return known;
   }
 
-  /** The stored record of a slice. */
+  /**
+   * The stored record of a slice. Of several the one counts that is where the layout in force has
+   * it, else the first by key, so that all controllers agree.
+   */
   Optional<StoredRecord> find(int shard, String job) {
-    String key = segmentKeys.get(shard).get(job);
+    SortedSet<String> several = duplicates.get(shard).get(job);
+    String key = several == null ? segmentKeys.get(shard).get(job) : select(several, shard, job);
     String text = key == null ? null : value(key).get(job);
     return text == null ? Optional.empty() : Optional.of(new StoredRecord(key, text));
   }
--- a/src/main/java/gladeknot/tasks/SliceRegistry.java
+++ b/src/main/java/gladeknot/tasks/SliceRegistry.java
@@ -39,7 +39,7 @@
       int shards, IntSupplier segmentSplit, StateStore stateStore, HostDirectory hosts) {
     this.shards = shards;
     this.layout = new SegmentLayout(segmentSplit);
-    this.segments = new SegmentIndex(shards, stateStore);
+    this.segments = new SegmentIndex(shards, layout, stateStore);
     this.capacity = new SegmentCapacity(layout, stateStore, segments);
     this.zones = new ZoneConstraints(hosts);
     this.hosts = hosts;
