Loopback stand-ins: one proxy for a worker and controller, not one for each heartbeat

Traced: workerAddress opened a listening proxy at each heartbeat until the system had no port left ("Address already in use"); the worker whose heartbeat failed so sent no other. A fault of the stand-ins. Change: the proxy of a worker and controller is kept.

--- a/src/test/java/gladeknot/standin/LoopbackServices.java
+++ b/src/test/java/gladeknot/standin/LoopbackServices.java
@@ -13,8 +13,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -63,6 +65,7 @@
   private final LoopbackScale scale;
   private final List<String> nodes = new ArrayList<>();
   private final List<String> nodesForWorkers = new ArrayList<>();
+  private final Map<String, String> workerAddresses = new ConcurrentHashMap<>();
   private volatile boolean stopped;
   private boolean inOutage;
   private long stateAdvancedMicros;
@@ -283,7 +286,9 @@
 
   /** Returns the address by which a controller reaches a worker. */
   String workerAddress(int node, String address) {
-    return links.address("node-" + node + ">workers", address);
+    // Once for each: a proxy takes a port, and this is asked for with every heartbeat.
+    return workerAddresses.computeIfAbsent(
+        node + ">" + address, link -> links.address("node-" + node + ">workers", address));
   }
 
   /** Returns the addresses by which users reach the controllers. */
@@ -292,7 +297,7 @@
   }
 
   /** Returns the value of a key of the state service; null if the key is absent. */
-  public synchronized java.util.Map<String, Object> stateOf(String key) {
+  public synchronized Map<String, Object> stateOf(String key) {
     return state.get(key);
   }
 
