The watch after a list in pages asks for the revision and does not wait

Cause: the copy counts as loaded once the watch has reached the last page's revision; where only keys of others have changed since, a watch of eight seconds would have been waited for. Change: that watch has no waiting time. Result: PagedListTest names both watches; golden, simulated cluster and state service tests pass.

--- a/src/main/java/gladeknot/state/CacheSynchronizer.java
+++ b/src/main/java/gladeknot/state/CacheSynchronizer.java
@@ -23,7 +23,11 @@
   private static final long LIST_TIMEOUT_MICROS = 5_000_000;
   private static final int LIST_PAGE_SIZE = 400;
   private static final int WATCH_WAIT_MILLIS = 8_000;
-  private static final long WATCH_TIMEOUT_MICROS = WATCH_WAIT_MILLIS * 1000L + 4_000_000;
+
+  /** How much longer than a watch may wait its answer is waited for. */
+  private static final long WATCH_MARGIN_MICROS = 4_000_000;
+
+  private static final long MICROS_A_MILLI = 1000;
 
   /** Between two watches. */
   private static final long WATCH_INTERVAL_MICROS = 110_000;
@@ -141,11 +145,13 @@
 
   private void watch() {
     watching = true;
+    // After a list in pages the revision is wanted, whether or not there are changes of these keys.
+    int waitMillis = loaded() ? WATCH_WAIT_MILLIS : 0;
     client.callUnthrottled(
         "GET",
-        StateServiceCodec.watchPath(StateStore.ROOT, cache.revision(), WATCH_WAIT_MILLIS),
+        StateServiceCodec.watchPath(StateStore.ROOT, cache.revision(), waitMillis),
         null,
-        WATCH_TIMEOUT_MICROS,
+        waitMillis * MICROS_A_MILLI + WATCH_MARGIN_MICROS,
         this::onWatchReply);
   }
 
--- a/src/test/java/gladeknot/state/PagedListTest.java
+++ b/src/test/java/gladeknot/state/PagedListTest.java
@@ -54,10 +54,13 @@
     assertEquals(List.of(), reached);
     // when
     Outbox.Call watch = nextCall("/follow");
+    assertTrue(watch.path().endsWith("&from=10&waitMs=0"), watch.path());
     outbox.reply(watch.id(), ok(Json.of("epoch", 12, "events", List.of())));
     // then
     assertTrue(store.loaded());
     assertEquals(List.of("reached 12", "waiter"), reached);
+    Outbox.Call next = nextCall("/follow");
+    assertTrue(next.path().endsWith("&from=12&waitMs=8000"), next.path());
   }
 
   @Test
