--- a/src/test/java/gladeknot/standin/LoopbackFaults.java
+++ b/src/test/java/gladeknot/standin/LoopbackFaults.java
@@ -19,6 +19,11 @@
 final class LoopbackFaults {
   private static final int MAX_ACTIVE = 3;
   private static final long DELAY_MILLIS = 400;
+  private static final long MIN_LAG_MILLIS = 100;
+  private static final long MAX_LAG_MILLIS = 3_000;
+
+  /** One watch lags for so many steps on average, then another. */
+  private static final int STEPS_OF_LAG = 3;
 
   /** Something that may fail, as a step of a fault. */
   private interface Action {
@@ -34,6 +39,7 @@
   private final Set<Integer> busyNodes = new TreeSet<>();
   private final List<String> log = new ArrayList<>();
   private final long startMicros = LoopbackServices.now();
+  private int laggingNode;
 
   LoopbackFaults(LoopbackCluster cluster, int controllers, long seed) {
     this.cluster = cluster;
@@ -59,6 +65,19 @@
     }
   }
 
+  /** Holds back the answers to one controller's watches, beside all other faults. */
+  void holdBackOneWatch() {
+    if (random.nextInt(STEPS_OF_LAG) > 0) {
+      return;
+    }
+    StateServiceFaults faults = cluster.services().stateFaults();
+    faults.delayWatch(laggingNode, 0);
+    laggingNode = random.nextInt(controllers);
+    long lagMillis = random.nextLong(MIN_LAG_MILLIS, MAX_LAG_MILLIS);
+    faults.delayWatch(laggingNode, lagMillis);
+    log.add(elapsed() + " s: watch of node-" + laggingNode + " lags by " + lagMillis + " ms");
+  }
+
   /** Ends all faults. */
   void endAll() throws IOException, InterruptedException {
     while (!active.isEmpty()) {
@@ -197,7 +216,7 @@
 
   private void delayWatch(int node, long millis) {
     StateServiceFaults faults = cluster.services().stateFaults();
-    long delayMillis = random.nextLong(100, 3_000);
+    long delayMillis = random.nextLong(MIN_LAG_MILLIS, MAX_LAG_MILLIS);
     faults.delayWatch(node, delayMillis);
     last(
         "watch of node-" + node + " held back by " + delayMillis + " ms",
--- a/src/test/java/gladeknot/standin/LoopbackSoak.java
+++ b/src/test/java/gladeknot/standin/LoopbackSoak.java
@@ -155,6 +155,9 @@
     long until = LoopbackServices.now() + faultMillis * 1000;
     while (LoopbackServices.now() < until) {
       faults.step();
+      if (isSplitting(seed)) {
+        faults.holdBackOneWatch();
+      }
       LoopbackServices.pause(STEP_MILLIS);
     }
     faults.endAll();
