Loopback tests: what controllers log of their own faults fails all of them

Cause: the soak alone looked for violated assertions in the controllers' logs. Change: LoopbackCluster.loggedFaults, for the soak and PartialCutsLoopbackTest.

--- a/src/test/java/gladeknot/app/PartialCutsLoopbackTest.java
+++ b/src/test/java/gladeknot/app/PartialCutsLoopbackTest.java
@@ -61,7 +61,7 @@
   @Test
   void everyJobEndsOnceWhicheverDirectionFails() throws Exception {
     try (LoopbackCluster cluster = new LoopbackCluster(dir, CONTROLLERS, true)) {
-      await("each shard with its home", 40, () -> cluster.eachShardHasItsHome());
+      await("each shard with its home", 40, cluster::eachShardHasItsHome);
       LoopbackUsers users =
           new LoopbackUsers(
               cluster.services().nodes(), cluster.history(), SEED, SUBMIT_INTERVAL_MILLIS);
@@ -79,6 +79,7 @@
       passAllTraffic(cluster);
       await("an end for every job", 60, () -> allEnded(cluster, users));
       assertEquals(List.of(), cluster.history().violations(System.nanoTime() / 1000));
+      assertEquals(List.of(), cluster.loggedFaults());
       assertTrue(cluster.history().starts() > 50, "only " + cluster.history().starts());
     }
   }
--- a/src/test/java/gladeknot/standin/LoopbackCluster.java
+++ b/src/test/java/gladeknot/standin/LoopbackCluster.java
@@ -20,6 +20,15 @@
 public final class LoopbackCluster implements AutoCloseable {
   private static final long EXIT_WAIT_SECONDS = 10;
 
+  /** What a controller logs when it has found a fault of its own. */
+  private static final List<String> LOGGED_FAULTS =
+      List.of(
+          "quota share violated",
+          "quota record violated",
+          "slice integrity violated",
+          "event failed",
+          "OutOfMemoryError");
+
   private final Path dir;
   private final boolean featureOn;
   private final DirectionalProxy proxy = new DirectionalProxy();
@@ -163,6 +172,20 @@
     return Files.readString(dir.resolve("node-" + node + ".log"));
   }
 
+  /** Returns the faults of their own that controllers have logged. */
+  public List<String> loggedFaults() throws IOException {
+    List<String> found = new ArrayList<>();
+    for (int node = 0; node < processes.size(); node++) {
+      String log = log(node);
+      for (String fault : LOGGED_FAULTS) {
+        if (log.contains(fault)) {
+          found.add("node-" + node + " logged: " + fault);
+        }
+      }
+    }
+    return found;
+  }
+
   @Override
   public void close() {
     processes.forEach(Process::destroyForcibly);
--- a/src/test/java/gladeknot/standin/LoopbackSoak.java
+++ b/src/test/java/gladeknot/standin/LoopbackSoak.java
@@ -31,15 +31,6 @@
   private static final long STEP_MILLIS = 500;
   private static final long TASK_MICROS = 1_500_000;
 
-  /** What a controller logs when it has found a fault of its own. */
-  private static final List<String> LOGGED_FAULTS =
-      List.of(
-          "quota share violated",
-          "quota record violated",
-          "slice integrity violated",
-          "event failed",
-          "OutOfMemoryError");
-
   private static final double SMALL_VALUE_KILOBYTES = 1.0;
 
   /** Many of these fill the segments. */
@@ -282,13 +273,8 @@
       if (!cluster.isRunning(node)) {
         problems.add("node-" + node + " has ended by itself");
       }
-      String log = cluster.log(node);
-      for (String fault : LOGGED_FAULTS) {
-        if (log.contains(fault)) {
-          problems.add("node-" + node + " logged: " + fault);
-        }
-      }
     }
+    problems.addAll(cluster.loggedFaults());
     if (cluster.history().starts() == 0) {
       problems.add("nothing ran");
     }
