--- a/src/test/java/gladeknot/standin/FaultInjection.java
+++ b/src/test/java/gladeknot/standin/FaultInjection.java
@@ -13,6 +13,8 @@
  * are lost or late, transactions that are carried out late. At first there are none.
  */
 public final class FaultInjection {
+  private static final String SHARD_WRITE = "\"write\":\"g/shard/";
+
   private final FakeStateStore state;
   private final LinkFaults links = new LinkFaults();
   private final Set<Integer> withoutState = new HashSet<>();
@@ -34,6 +36,7 @@
   private long commandDelay;
   private long peerDelay;
   private long stateDelay;
+  private final Map<Integer, Long> commitAnswerDelays = new HashMap<>();
 
   private record IsolatedZone(String zone, int node) {}
 
@@ -146,6 +149,14 @@
     stateDelay = micros;
   }
 
+  /**
+   * How much later answers to a controller's transactions come, though these are carried out in
+   * time; those that give a shard a new owner are answered as ever.
+   */
+  public void delayCommitAnswers(int node, long micros) {
+    commitAnswerDelays.put(node, micros);
+  }
+
   /** Whether copies of heartbeats arrive late, at any controller. */
   public void duplicateHeartbeats(boolean on) {
     duplicateHeartbeats = on;
@@ -237,6 +248,12 @@
     return stateDelay;
   }
 
+  /** How much later the answer to a transaction comes. */
+  long commitAnswerDelay(int node, byte[] transaction) {
+    String text = new String(transaction, StandardCharsets.UTF_8);
+    return text.contains(SHARD_WRITE) ? 0 : commitAnswerDelays.getOrDefault(node, 0L);
+  }
+
   boolean duplicatesHeartbeats() {
     return duplicateHeartbeats;
   }
--- a/src/test/java/gladeknot/standin/SimulatedNetwork.java
+++ b/src/test/java/gladeknot/standin/SimulatedNetwork.java
@@ -92,8 +92,9 @@
   private void deliver(int node, Outbox.Call call, ResponseHandler handler) {
     Optional<ServiceResponse> served = serve(node, call);
     Optional<ServiceResponse> response = losesResponse(node, call) ? Optional.empty() : served;
+    long answerDelay = isCommit(call) ? faults.commitAnswerDelay(node, call.body()) : 0;
     clock.schedule(
-        response.isEmpty() ? call.timeoutMicros() : MIN_LATENCY,
+        response.isEmpty() ? call.timeoutMicros() : MIN_LATENCY + answerDelay,
         () -> handler.onResponse(response));
   }
 
--- a/src/test/java/gladeknot/standin/StoredSliceChecker.java
+++ b/src/test/java/gladeknot/standin/StoredSliceChecker.java
@@ -2,6 +2,7 @@
 
 import gladeknot.jobs.Job;
 import gladeknot.jobs.RecordedJobs;
+import gladeknot.tasks.RecordedAttempts;
 import gladeknot.tasks.RecordedSlices;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -59,11 +60,26 @@
     jobs.addAll(after.keySet());
     for (String job : jobs) {
       if (!Objects.equals(before.get(job), after.get(job))) {
+        checkStartedTasksStay(job, before.get(job), after.get(job));
         recordChanged(segment, job, after.get(job));
       }
     }
   }
 
+  /** A task that is claimed from a slice may not have been started there. */
+  private void checkStartedTasksStay(String job, Object before, Object after) {
+    if (before == null || after == null) {
+      return;
+    }
+    BitSet assigned = RecordedSlices.assigned(String.valueOf(after));
+    for (RecordedAttempts.Recorded attempt : RecordedAttempts.of(job, String.valueOf(before))) {
+      String task = attempt.task();
+      if (!assigned.get(Integer.parseInt(task.substring(task.lastIndexOf('/') + 1)))) {
+        violations.accept("ran_twice: claimed while it is started: " + task);
+      }
+    }
+  }
+
   private void recordChanged(String segment, String job, Object record) {
     Map<String, BitSet> assigned = assignedByJob.computeIfAbsent(job, id -> new TreeMap<>());
     if (record == null) {
