An outcome is not applied to slices that were loaded again since the transaction was sent

Cause: a shard that is handed over is released when that commit is answered; its slices are loaded as their records say, by a copy that may lack a transaction of this controller that is committed and not answered yet. When that answer came, the segment counted as loaded with what was written, and the slices stayed as before: started tasks seemed pending under the newest revision, were claimed, and their record was overwritten. Change: a slice counts how often it was loaded; an outcome that finds another count lets the record be read, and that of the slices it claimed from.

--- a/src/main/java/gladeknot/commit/OutcomeHandler.java
+++ b/src/main/java/gladeknot/commit/OutcomeHandler.java
@@ -81,18 +81,19 @@
 
   private void onSliceCommitted(SliceSnapshot snapshot) {
     Slice slice = snapshot.slice();
-    if (!slices.contains(slice)) {
-      // Its job ended before it was known that its first start was committed: the record counts.
+    if (!slices.contains(slice) || slice.reloads() != snapshot.reloads()) {
+      // Dropped or loaded again since it was sent, as when its shard was handed over: the slice
+      // does
+      // not hold what was committed, but its record does.
       reloader.reload(slice);
+      loadClaimed(snapshot);
       return;
     }
     slice.markStored(snapshot.key(), snapshot.done());
     snapshot.live().forEach(this::onStartCommitted);
     snapshot.closed().forEach(this::onEndCommitted);
-    for (Slice from : snapshot.claims().keySet()) {
-      slice.removeClaim(from);
-      reloader.load(from.shard(), from.job());
-    }
+    snapshot.claims().keySet().forEach(slice::removeClaim);
+    loadClaimed(snapshot);
     if (slice.version() == snapshot.version()) {
       pending.remove(slice);
       slice.markClean();
@@ -102,6 +103,12 @@
     }
   }
 
+  private void loadClaimed(SliceSnapshot snapshot) {
+    for (Slice from : snapshot.claims().keySet()) {
+      reloader.load(from.shard(), from.job());
+    }
+  }
+
   private void onEndCommitted(Attempt attempt) {
     slices.removeAttempt(attempt);
     LOG.debug("attempt end committed attempt={} shard={}", attempt, attempt.slice().shard());
--- a/src/main/java/gladeknot/commit/SliceSnapshot.java
+++ b/src/main/java/gladeknot/commit/SliceSnapshot.java
@@ -14,6 +14,7 @@
  * @param slice the working copy, which may change while the transaction is in flight
  * @param key the segment that the record is written to
  * @param version the working copy's version
+ * @param reloads how often the slice had been loaded again
  * @param done the tasks that are done
  * @param live the attempts that the record contains
  * @param closed the attempts whose ends the transaction commits
@@ -24,6 +25,7 @@
     Slice slice,
     String key,
     long version,
+    long reloads,
     BitSet done,
     List<Attempt> live,
     List<Attempt> closed,
@@ -41,6 +43,7 @@
         slice,
         key,
         slice.version(),
+        slice.reloads(),
         (BitSet) slice.done().clone(),
         live,
         closed,
--- a/src/main/java/gladeknot/tasks/Slice.java
+++ b/src/main/java/gladeknot/tasks/Slice.java
@@ -32,6 +32,7 @@
 
   private BitSet committedDone = new BitSet();
   private long version;
+  private long reloads;
 
   /** Null until it is asked for. */
   private TaskRequirements requirements;
@@ -134,6 +135,11 @@
     return version;
   }
 
+  /** How often it was loaded again, so that an outcome can tell whether it concerns what it is. */
+  public long reloads() {
+    return reloads;
+  }
+
   /** Since when it has something to commit; 0 if it has nothing. */
   public long dirtySinceMicros() {
     return dirtySinceMicros;
@@ -361,6 +367,7 @@
   void beginReload(String segmentKey) {
     clearAttempts();
     pendingClaims.clear();
+    reloads++;
     version++;
     dirtySinceMicros = 0;
     location.setStoredKey(segmentKey);
--- a/src/test/java/gladeknot/commit/TransactionBatchTest.java
+++ b/src/test/java/gladeknot/commit/TransactionBatchTest.java
@@ -43,7 +43,7 @@
 
   private static SliceSnapshot relyingOn(String... keys) {
     return new SliceSnapshot(
-        null, keys[0], 0, new BitSet(), List.of(), List.of(), Map.of(), Set.of(keys));
+        null, keys[0], 0, 0, new BitSet(), List.of(), List.of(), Map.of(), Set.of(keys));
   }
 
   @Test
