--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -f target/gladeknot.jar ] && [ -d target/review/rig ] || { echo "build first: deploy/service.toml, review/build.sh" >&2; exit 2; }
-exec java -Xmx2g -cp target/review:target/gladeknot.jar rig.Growth "$here/record.txt"
+exec java -Xmx2g -cp target/review:target/gladeknot.jar rig.ServiceLosesMachine "$here/record.txt"
