--- a/review/src/rig/Machines.java
+++ b/review/src/rig/Machines.java
@@ -301,7 +301,7 @@
         }
         up = true;
         leaseFrom = System.nanoTime();
-        node = ThreadLocalRandom.current().nextInt(rig.site.nodes());
+        node = ThreadLocalRandom.current().nextInt(rig.members);
       }
       Http.Client client = new Http.Client();
       long last = 0;
@@ -353,7 +353,7 @@
         node = named;
         return System.nanoTime() + ThreadLocalRandom.current().nextLong(0, 500_000_000L);
       }
-      node = (node + 1) % rig.site.nodes();
+      node = (node + 1) % rig.members;
       return System.nanoTime() + 1_000_000_000L;
     }
   }
