Pace the list of all keys and keep the pages read when one is refused

Cause: each controller listed all keys without tokens, page after page, and began at the first page again at any status but 200. Five lists use up the service's burst of 100 requests before any has come to its 90th page of 400 keys; from then on each list is refused somewhere.

Change: KeyLister takes a request token for each page and leaves one to lease renewals, so that all controllers together stay below the rate; a page that is refused or not answered is asked for again after the backoff, from the key where the list stood. A page holds 1,000 keys, the most that the service returns, instead of 400. RetryBackoff serves the list and the watch.

The fake state service can keep to its rates (StateRateLimits), limits pages to 1,000 keys and 512 KiB, and answers 410 to watches older than 10,000 changes, as PROTOCOL has it.

--- a/src/main/java/gladeknot/state/CacheSynchronizer.java
+++ b/src/main/java/gladeknot/state/CacheSynchronizer.java
@@ -1,10 +1,7 @@
 package gladeknot.state;
 
 import gladeknot.outbox.Outbox;
-import gladeknot.state.StateServiceCodec.ListPage;
-import gladeknot.state.StateServiceCodec.ListedKey;
 import gladeknot.state.StateServiceCodec.WatchReply;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,8 +18,6 @@
 final class CacheSynchronizer {
   private static final Logger LOG = LoggerFactory.getLogger(CacheSynchronizer.class);
 
-  private static final long LIST_TIMEOUT_MICROS = 5_000_000;
-  private static final int LIST_PAGE_SIZE = 400;
   private static final int WATCH_WAIT_MILLIS = 8_000;
 
   /** Time by which the timeout of a watch exceeds the time that the service may wait for events. */
@@ -33,27 +28,16 @@
   /** Minimum interval between the reply to a watch and the next watch. */
   private static final long WATCH_INTERVAL_MICROS = 110_000;
 
-  /** Backoff after a failed list or watch, to which a random jitter is added. */
-  private static final long BACKOFF_MICROS = 200_000;
-
-  private static final int BACKOFF_JITTER_MICROS = 300_000;
-  private static final long UNKNOWN_REVISION = -1;
-
   private final StateServiceClient client;
   private final WatchCache cache;
   private final ReadBarriers barriers;
   private final CacheLag lag;
   private final ChangeListener listener;
-  private final RandomGenerator random;
+  private final KeyLister lister;
+  private final RetryBackoff watchBackoff;
   private boolean listed;
-  private boolean listing;
   private boolean watching;
-  private long backOffUntilMicros;
   private long nextWatchMicros;
-  private TreeMap<String, Entry> listedEntries;
-
-  /** Revision of the first page. The cache holds all changes up to it. */
-  private long listedRevision;
 
   /** Revision of the last page. The cache may hold changes up to it. */
   private long lastPageRevision;
@@ -72,7 +56,8 @@
     this.barriers = barriers;
     this.lag = lag;
     this.listener = listener;
-    this.random = random;
+    this.lister = new KeyLister(client, random, this::onListed);
+    this.watchBackoff = new RetryBackoff(random);
   }
 
   /**
@@ -83,58 +68,22 @@
     return listed && cache.revision() >= lastPageRevision;
   }
 
-  /** Starts a list or a watch when one is due. */
+  /** Continues the list, or starts a watch, when due. */
   void tick(long currentMicros) {
     nowMicros = currentMicros;
-    if (!listed && !listing && currentMicros >= backOffUntilMicros) {
-      listing = true;
-      listedEntries = new TreeMap<>();
-      listedRevision = UNKNOWN_REVISION;
-      list("");
-    }
-    if (listed && !watching && currentMicros >= Math.max(backOffUntilMicros, nextWatchMicros)) {
+    if (!listed) {
+      lister.tick(currentMicros);
+    } else if (!watching
+        && currentMicros >= nextWatchMicros
+        && watchBackoff.isOver(currentMicros)) {
       watch();
     }
   }
 
-  private void list(String afterKey) {
-    client.callUnthrottled(
-        "GET",
-        StateServiceCodec.listPath(StateStore.ROOT, afterKey, LIST_PAGE_SIZE),
-        null,
-        LIST_TIMEOUT_MICROS,
-        reply -> onListReply(afterKey, reply));
-  }
-
-  private void onListReply(String afterKey, Outbox.Reply reply) {
-    if (reply.status() != StateServiceCodec.OK) {
-      listing = false;
-      backOff();
-      return;
-    }
-    ListPage page = StateServiceCodec.listPage(reply);
-    if (listedRevision < 0) {
-      listedRevision = page.revision();
-    }
-    lastPageRevision = page.revision();
-    String lastKey = afterKey;
-    for (ListedKey item : page.keys()) {
-      lastKey = item.key();
-      listedEntries.put(lastKey, item.entry());
-    }
-    if (page.more() && !lastKey.equals(afterKey)) {
-      list(lastKey);
-    } else {
-      finishList();
-    }
-  }
-
-  private void finishList() {
-    listing = false;
+  private void onListed(KeyLister.Listing listing) {
     listed = true;
-    TreeMap<String, Entry> complete = listedEntries;
-    listedEntries = null;
-    listener.onChanges(cache.applyList(complete, listedRevision));
+    lastPageRevision = listing.lastRevision();
+    listener.onChanges(cache.applyList(listing.entries(), listing.firstRevision()));
     LOG.info(
         "state loaded revision={} last_page_revision={} keys={}",
         cache.revision(),
@@ -143,10 +92,6 @@
     onRevisionReached();
   }
 
-  private void backOff() {
-    backOffUntilMicros = nowMicros + BACKOFF_MICROS + random.nextInt(BACKOFF_JITTER_MICROS);
-  }
-
   private void watch() {
     watching = true;
     // Before the cache is loaded, the service must answer at once, because its revision is needed
@@ -167,7 +112,7 @@
       return;
     }
     if (reply.status() != StateServiceCodec.OK) {
-      backOff();
+      watchBackoff.onFailure(nowMicros);
       return;
     }
     WatchReply watched = StateServiceCodec.watchReply(reply);
--- /dev/null
+++ b/src/main/java/gladeknot/state/KeyLister.java
@@ -0,0 +1,133 @@
+package gladeknot.state;
+
+import gladeknot.outbox.Outbox;
+import gladeknot.state.StateServiceCodec.ListPage;
+import gladeknot.state.StateServiceCodec.ListedKey;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads all keys with the common prefix, page by page, within this controller's part of the request
+ * rate.
+ *
+ * <p>All controllers may list at the same time, for example after a crash of all of them. Therefore
+ * each page waits for a request token, which also leaves the rate to lease renewals. A page that is
+ * refused or not answered is requested again after a backoff; the pages read before are kept.
+ */
+final class KeyLister {
+  private static final Logger LOG = LoggerFactory.getLogger(KeyLister.class);
+
+  private static final long TIMEOUT_MICROS = 5_000_000;
+
+  /** Number of keys of a page: the most that the state service returns. */
+  private static final int PAGE_SIZE = 1000;
+
+  private static final String FIRST_PAGE = "";
+  private static final long UNKNOWN_REVISION = -1;
+  private static final long MICROS_PER_MILLI = 1000;
+
+  /**
+   * All keys that were listed.
+   *
+   * @param firstRevision revision of the first page; the entries hold all changes up to it
+   * @param lastRevision revision of the last page; the entries may hold changes up to it
+   */
+  record Listing(TreeMap<String, Entry> entries, long firstRevision, long lastRevision) {}
+
+  private final StateServiceClient client;
+  private final RetryBackoff backoff;
+  private final Consumer<Listing> onComplete;
+  private TreeMap<String, Entry> entries;
+  private String afterKey;
+  private long firstRevision;
+  private boolean pageInFlight;
+  private int pages;
+  private int retries;
+  private long startMicros;
+  private long nowMicros;
+
+  /** Creates a lister that passes each complete list to {@code onComplete}. */
+  KeyLister(StateServiceClient client, RandomGenerator random, Consumer<Listing> onComplete) {
+    this.client = client;
+    this.backoff = new RetryBackoff(random);
+    this.onComplete = onComplete;
+  }
+
+  /** Advances the time. Starts a list if none is in progress, and requests a page when due. */
+  void tick(long currentMicros) {
+    nowMicros = currentMicros;
+    if (entries == null) {
+      start();
+    }
+    requestPageIfDue();
+  }
+
+  private void start() {
+    entries = new TreeMap<>();
+    afterKey = FIRST_PAGE;
+    firstRevision = UNKNOWN_REVISION;
+    pages = 0;
+    retries = 0;
+    startMicros = nowMicros;
+  }
+
+  private void requestPageIfDue() {
+    if (pageInFlight || !backoff.isOver(nowMicros) || !client.tryAcquireRead()) {
+      return;
+    }
+    pageInFlight = true;
+    client.call(
+        "GET",
+        StateServiceCodec.listPath(StateStore.ROOT, afterKey, PAGE_SIZE),
+        null,
+        TIMEOUT_MICROS,
+        this::onReply);
+  }
+
+  private void onReply(Outbox.Reply reply) {
+    pageInFlight = false;
+    if (reply.status() == StateServiceCodec.OK) {
+      onPage(StateServiceCodec.listPage(reply));
+    } else {
+      onFailure(reply.status());
+    }
+  }
+
+  private void onFailure(int status) {
+    retries++;
+    backoff.onFailure(nowMicros);
+    LOG.info("state list delayed status={} pages={} keys={}", status, pages, entries.size());
+  }
+
+  private void onPage(ListPage page) {
+    pages++;
+    if (firstRevision == UNKNOWN_REVISION) {
+      firstRevision = page.revision();
+    }
+    String previousKey = afterKey;
+    for (ListedKey item : page.keys()) {
+      afterKey = item.key();
+      entries.put(afterKey, item.entry());
+    }
+    if (page.more() && !afterKey.equals(previousKey)) {
+      requestPageIfDue();
+    } else {
+      complete(page.revision());
+    }
+  }
+
+  private void complete(long lastRevision) {
+    Listing listing = new Listing(entries, firstRevision, lastRevision);
+    entries = null;
+    LOG.info(
+        "state listed keys={} pages={} retries={} ms={}",
+        listing.entries().size(),
+        pages,
+        retries,
+        (nowMicros - startMicros) / MICROS_PER_MILLI);
+    onComplete.accept(listing);
+  }
+}
--- a/src/main/java/gladeknot/state/StateServiceClient.java
+++ b/src/main/java/gladeknot/state/StateServiceClient.java
@@ -14,6 +14,11 @@
     this.requestLimits = requestLimits;
   }
 
+  /** Takes the token of one read if there is one, and returns whether there was. */
+  boolean tryAcquireRead() {
+    return requestLimits.tryAcquireRead();
+  }
+
   /** Sends a request for which the caller has acquired the tokens; {@code body} may be null. */
   void call(
       String method, String path, Object body, long timeoutMicros, Outbox.ReplyHandler handler) {
--- a/src/test/java/gladeknot/standin/FakeStateStore.java
+++ b/src/test/java/gladeknot/standin/FakeStateStore.java
@@ -2,10 +2,12 @@
 
 import gladeknot.json.Json;
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 /** In-memory state service that serves the protocol; {@link #advance} sets its time. */
@@ -23,6 +25,9 @@
   private static final int DEFAULT_MAX_WRITES = 16;
   private static final int MAX_CONDITIONS_PER_WRITE = 4;
   private static final int MAX_TRANSACTION_BYTES = 64 * 1024;
+  private static final int MAX_PAGE_KEYS = 1000;
+  private static final int MAX_PAGE_BYTES = 512 * 1024;
+  private static final int KEPT_CHANGES = 10_000;
 
   private record Value(Map<String, Object> data, long revision, long lease) {}
 
@@ -44,8 +49,12 @@
 
   private final TreeMap<String, Value> keys = new TreeMap<>();
   private final Map<Long, Lease> leases = new HashMap<>();
-  private final List<Change> changes = new ArrayList<>();
+  private final ArrayDeque<Change> changes = new ArrayDeque<>();
   private long revision;
+
+  /** Revision of the newest change that is no longer kept. */
+  private long compactedRevision;
+
   private long writes;
   private long nextLease = 1;
   private long nowMicros;
@@ -129,6 +138,9 @@
       keys.put(key, new Value(data, revision, lease));
     }
     changes.add(new Change(key, data, revision));
+    if (changes.size() > KEPT_CHANGES) {
+      compactedRevision = changes.poll().revision();
+    }
     changeListeners.forEach(listener -> listener.changed(key, data));
   }
 
@@ -145,6 +157,13 @@
     changeListeners.forEach(ChangeListener::transactionCommitted);
   }
 
+  /** Stores a key before any controller runs; no listener is notified and no change is kept. */
+  public void preset(String key, Map<String, Object> data) {
+    revision++;
+    compactedRevision = revision;
+    keys.put(key, new Value(data, revision, 0));
+  }
+
   /** Returns all keys with a prefix, in order. */
   public List<String> keys(String prefix) {
     return List.copyOf(keys.subMap(prefix, prefix + Character.MAX_VALUE).keySet());
@@ -215,26 +234,34 @@
   }
 
   private ServiceResponse list(Map<String, String> query) {
-    int most = Integer.parseInt(query.getOrDefault("most", "1000"));
-    String from = query.getOrDefault("from", "");
+    int most =
+        Math.min(MAX_PAGE_KEYS, Integer.parseInt(query.getOrDefault("most", "" + MAX_PAGE_KEYS)));
+    String prefix = query.get("starts");
+    String from = query.getOrDefault("from", prefix);
     List<Object> items = new ArrayList<>();
+    int bytes = 0;
     boolean more = false;
-    for (String key : keys(query.get("starts"))) {
-      if (key.compareTo(from) <= 0) {
-        continue;
-      }
-      if (items.size() == most) {
+    SortedMap<String, Value> rest =
+        keys.subMap(prefix, true, prefix + Character.MAX_VALUE, false).tailMap(from, false);
+    for (Map.Entry<String, Value> entry : rest.entrySet()) {
+      Value value = entry.getValue();
+      Map<String, Object> item =
+          Json.of("path", entry.getKey(), "data", value.data(), "stamp", value.revision());
+      bytes += Json.bytes(item).length;
+      if (items.size() == most || (bytes > MAX_PAGE_BYTES && !items.isEmpty())) {
         more = true;
         break;
       }
-      Value value = keys.get(key);
-      items.add(Json.of("path", key, "data", value.data(), "stamp", value.revision()));
+      items.add(item);
     }
     return new ServiceResponse(200, Json.of("items", items, "more", more, "epoch", revision));
   }
 
   private ServiceResponse watch(Map<String, String> query) {
     long from = Long.parseLong(query.get("from"));
+    if (from < compactedRevision) {
+      return new ServiceResponse(410, Json.of());
+    }
     List<Object> events = new ArrayList<>();
     for (Change change : changes) {
       if (change.revision() > from && change.key().startsWith(query.get("starts"))) {
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -276,6 +276,16 @@
     return controllers.peerBytes();
   }
 
+  /** Makes the state service refuse calls above the rates of the cluster's scale from now on. */
+  public void enforceStateLimits() {
+    network.limitStateCalls(new StateRateLimits(scale.stateRps(), scale.writeRps()));
+  }
+
+  /** Returns the number of calls to the state service that were refused because of its rates. */
+  public long refusedStateCalls() {
+    return network.refusedStateCalls();
+  }
+
   /** Returns the number of calls to the state service so far. */
   public long stateCalls() {
     return network.stateCalls();
--- a/src/test/java/gladeknot/standin/SimulatedNetwork.java
+++ b/src/test/java/gladeknot/standin/SimulatedNetwork.java
@@ -41,6 +41,7 @@
   private final SimulatedMachines machines;
   private final Violations violations;
   private final Set<Integer> firstVersionNodes = new HashSet<>();
+  private Optional<StateRateLimits> stateLimits = Optional.empty();
   private long stateCalls;
 
   SimulatedNetwork(
@@ -69,6 +70,16 @@
     }
   }
 
+  /** Makes the state service refuse calls above the given rates from now on. */
+  void limitStateCalls(StateRateLimits limits) {
+    stateLimits = Optional.of(limits);
+  }
+
+  /** Returns the number of calls to the state service that were refused because of its rates. */
+  long refusedStateCalls() {
+    return stateLimits.map(StateRateLimits::refused).orElse(0L);
+  }
+
   /** Returns the number of calls to the state service so far. */
   long stateCalls() {
     return stateCalls;
@@ -125,6 +136,9 @@
       clock.schedule(MIN_LATENCY_MICROS, () -> handler.onResponse(Optional.empty()));
     } else if (faults.losesStateRequests(node)) {
       timeOut(call, handler);
+    } else if (exceedsStateLimits(call)) {
+      clock.schedule(
+          MIN_LATENCY_MICROS, () -> handler.onResponse(Optional.of(StateRateLimits.refusal())));
     } else if (call.path().startsWith("/follow")) {
       watch(node, call, handler, clock.now() + call.timeoutMicros() - WATCH_MARGIN_MICROS);
     } else if (faults.rejectsStateCalls(node)) {
@@ -135,6 +149,11 @@
     return true;
   }
 
+  private boolean exceedsStateLimits(Outbox.Call call) {
+    return stateLimits.isPresent()
+        && !stateLimits.get().admits(call.path(), call.body(), clock.now());
+  }
+
   private static Optional<ServiceResponse> unavailable() {
     return Optional.of(new ServiceResponse(503, Json.of()));
   }
