Repeat a barrier read that the state service refuses with 429

What callers saw: polls got 503 "the state service does not answer" when another controller's burst made the service refuse the one read that their barriers shared.

Cause: ReadBarriers took a refused read for a failed one and failed all of its barriers at once, although they may wait for 1.5 s.

Measured: refusedBarrierReadIsRepeatedBeforeTheBarrierFails failed before the change ("failed" after one 429) and passes now; a barrier whose reads are refused throughout still fails at its deadline.

--- a/src/main/java/gladeknot/state/ReadBarriers.java
+++ b/src/main/java/gladeknot/state/ReadBarriers.java
@@ -94,6 +94,12 @@
     return batch;
   }
 
+  /** Handles a refused read: its barriers wait for another read until their deadlines. */
+  void onReadRefused(List<Barrier> batch) {
+    readInFlight = false;
+    requested.addAll(0, batch);
+  }
+
   /**
    * Handles the end of a read.
    *
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -134,9 +134,15 @@
         StateServiceCodec.keyPath(BARRIER_KEY),
         null,
         ReadBarriers.TIMEOUT_MICROS,
-        reply ->
-            barriers.finishRead(
-                batch, StateServiceCodec.revisionOfAbsentKey(reply), cache.revision()));
+        reply -> onBarrierReply(batch, reply));
+  }
+
+  private void onBarrierReply(List<ReadBarriers.Barrier> batch, Outbox.Reply reply) {
+    if (reply.status() == StateServiceCodec.TOO_MANY_REQUESTS) {
+      barriers.onReadRefused(batch);
+    } else {
+      barriers.finishRead(batch, StateServiceCodec.revisionOfAbsentKey(reply), cache.revision());
+    }
   }
 
   /** Runs a callback once the cache has reached a revision, without a deadline. */
--- a/src/test/java/gladeknot/state/RefusedRequestsTest.java
+++ b/src/test/java/gladeknot/state/RefusedRequestsTest.java
@@ -18,9 +18,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Guards against lists that lose their progress when the state service refuses a page, and that
- * exceed this controller's part of the request rate. Together, both kept all controllers from
- * coming back after a crash of all of them.
+ * Guards against reads that lose their progress when the state service refuses a request, and
+ * against lists that exceed this controller's part of the request rate. Either kept all controllers
+ * from coming back after a crash of all of them.
  */
 class RefusedRequestsTest {
   private static final long MICROS_PER_SECOND = 1_000_000;
@@ -43,6 +43,7 @@
             @Override
             public void onRevisionReached() {}
           });
+  private final List<String> results = new ArrayList<>();
   private long now = MICROS_PER_SECOND;
 
   @BeforeEach
@@ -108,6 +109,36 @@
     assertEquals(2, outbox.drainCalls().size());
   }
 
+  @Test
+  void refusedBarrierReadIsRepeatedBeforeTheBarrierFails() {
+    load();
+    store.readBarrier(() -> results.add("fresh"), () -> results.add("failed"));
+    answer(awaitCall("/kv/g/-"), 429, Json.of());
+    assertEquals(List.of(), results);
+    answer(awaitCall("/kv/g/-"), 404, Json.of("epoch", 10));
+    assertEquals(List.of("fresh"), results);
+  }
+
+  @Test
+  void barrierFailsOnceItsReadsAreRefusedForTooLong() {
+    load();
+    store.readBarrier(() -> results.add("fresh"), () -> results.add("failed"));
+    long endMicros = now + 2 * MICROS_PER_SECOND;
+    while (now < endMicros) {
+      for (Outbox.Call call : step()) {
+        if (call.path().startsWith("/kv/")) {
+          answer(call, 429, Json.of());
+        }
+      }
+    }
+    assertEquals(List.of("failed"), results);
+  }
+
+  private void load() {
+    answer(awaitCall("/kv?"), 200, page(10, false, "g/a"));
+    assertTrue(store.loaded());
+  }
+
   private Outbox.Call awaitCall(String path) {
     long endMicros = now + 5 * MICROS_PER_SECOND;
     while (now < endMicros) {
