Take no request token for a transaction that has to wait for writes

Cause: RequestLimits.tryAcquireWrites took the request's token first and kept it when there were too few tokens for the writes.

Change: the writes are checked before the request's token is taken.

--- a/src/main/java/gladeknot/state/RequestLimits.java
+++ b/src/main/java/gladeknot/state/RequestLimits.java
@@ -64,7 +64,9 @@
    */
   boolean tryAcquireWrites(int count, double reservedShare) {
     double reserved = reservedShare * writes.burst();
-    return requests.tryAcquire(1, REQUESTS_RESERVED_FOR_READS, nowMicros)
+    // A transaction that has to wait for writes must leave its request token to others.
+    return writes.canAcquire(count, reserved, nowMicros)
+        && requests.tryAcquire(1, REQUESTS_RESERVED_FOR_READS, nowMicros)
         && writes.tryAcquire(count, reserved, nowMicros);
   }
 
--- a/src/main/java/gladeknot/state/TokenBucket.java
+++ b/src/main/java/gladeknot/state/TokenBucket.java
@@ -45,13 +45,18 @@
    * @return whether the tokens were taken
    */
   public boolean tryAcquire(double count, double reserved, long nowMicros) {
+    boolean enough = canAcquire(count, reserved, nowMicros);
+    if (enough) {
+      level -= count;
+    }
+    return enough;
+  }
+
+  /** Returns whether {@link #tryAcquire} would take the tokens now. */
+  boolean canAcquire(double count, double reserved, long nowMicros) {
     refill(nowMicros);
     // A request for more tokens than the bucket can hold is granted once the bucket is full.
-    if (level < Math.min(burst, count + reserved)) {
-      return false;
-    }
-    level -= count;
-    return true;
+    return level >= Math.min(burst, count + reserved);
   }
 
   /**
