Limit the nesting of JSON that is read

Cause: the parser takes 1,000 levels and recurses, which overflows the event loop's stack of 256 KiB; Netty passed over the StackOverflowError.

Change: JSON of more than 32 levels isn't read: a submission gets 400 like any other malformed one.

--- a/src/main/java/gladeknot/json/Json.java
+++ b/src/main/java/gladeknot/json/Json.java
@@ -1,5 +1,7 @@
 package gladeknot.json;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -9,14 +11,24 @@
 
 /** Reads and writes JSON as plain maps and lists. */
 public final class Json {
-  private static final JSON JR = JSON.std;
+  /** Maximum nesting of objects and lists; no message of the protocols has more than a few. */
+  private static final int MAX_NESTING_DEPTH = 32;
+
+  private static final JSON JR = JSON.builder(jsonFactory()).build();
 
   private Json() {}
 
+  /** Limits the nesting: the parser is recursive, and deeper text would exhaust the stack. */
+  private static JsonFactory jsonFactory() {
+    StreamReadConstraints constraints =
+        StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING_DEPTH).build();
+    return JsonFactory.builder().streamReadConstraints(constraints).build();
+  }
+
   /**
    * Parses a JSON value.
    *
-   * @throws IOException if the text is not JSON
+   * @throws IOException if the text is not JSON, or nested too deeply
    */
   public static Object parse(byte[] bytes) throws IOException {
     return JR.anyFrom(bytes);
