End the process when an Error reaches the event loop

Cause: ControllerProcess catches RuntimeException only; an Error ended the tick for good, or was passed over by Netty, whose log is off.

--- a/src/main/java/gladeknot/app/ControllerProcess.java
+++ b/src/main/java/gladeknot/app/ControllerProcess.java
@@ -1,5 +1,6 @@
 package gladeknot.app;
 
+import gladeknot.errors.FatalErrors;
 import gladeknot.http.HttpCaller;
 import gladeknot.http.HttpServer;
 import gladeknot.outbox.Outbox;
@@ -21,7 +22,7 @@
 /**
  * Runs the controller on one event loop: sends its calls and answers, and calls its tick regularly.
  * The only class that catches RuntimeException, because a fault in one event must not stop the
- * handling of later events.
+ * handling of later events. An Error ends the process.
  */
 public final class ControllerProcess {
   private static final Logger LOG = LoggerFactory.getLogger(ControllerProcess.class);
@@ -77,6 +78,8 @@
       drain();
     } catch (RuntimeException e) {
       LOG.error("event failed event=tick", e);
+    } catch (Error e) {
+      FatalErrors.exit("periodic-work", e);
     }
     group.next().schedule(this::onTick, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -92,6 +95,8 @@
     } catch (RuntimeException e) {
       LOG.error("event failed event=request method={} path={}", method, path, e);
       controller.outbox().retryLater(request, UNAVAILABLE, "internal error", RETRY_AFTER_SECONDS);
+    } catch (Error e) {
+      FatalErrors.exit("request", e);
     }
     drain();
   }
@@ -102,6 +107,8 @@
       controller.outbox().reply(call, reply);
     } catch (RuntimeException e) {
       LOG.error("event failed event=reply call={} status={}", call, reply.status(), e);
+    } catch (Error e) {
+      FatalErrors.exit("reply", e);
     }
     drain();
   }
--- a/src/main/java/gladeknot/http/HttpCallHandler.java
+++ b/src/main/java/gladeknot/http/HttpCallHandler.java
@@ -1,5 +1,6 @@
 package gladeknot.http;
 
+import gladeknot.errors.FatalErrors;
 import gladeknot.outbox.Outbox;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -79,6 +80,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    FatalErrors.exitIfError("reply", cause);
     ctx.close();
   }
 
--- a/src/main/java/gladeknot/http/HttpRequestHandler.java
+++ b/src/main/java/gladeknot/http/HttpRequestHandler.java
@@ -1,5 +1,6 @@
 package gladeknot.http;
 
+import gladeknot.errors.FatalErrors;
 import gladeknot.json.Json;
 import gladeknot.outbox.Outbox;
 import io.netty.buffer.ByteBufUtil;
@@ -77,6 +78,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    FatalErrors.exitIfError("request", cause);
     LOG.debug(
         "connection closed remote={} cause={}", ctx.channel().remoteAddress(), cause.toString());
     ctx.close();
--- a/src/main/java/gladeknot/peer/PeerLinks.java
+++ b/src/main/java/gladeknot/peer/PeerLinks.java
@@ -1,5 +1,6 @@
 package gladeknot.peer;
 
+import gladeknot.errors.FatalErrors;
 import gladeknot.settings.Settings;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -134,6 +135,7 @@
   private static final class CloseOnErrorHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      FatalErrors.exitIfError("peer-message", cause);
       ctx.close();
     }
   }
@@ -155,6 +157,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      FatalErrors.exitIfError("peer-message", cause);
       LOG.debug(
           "peer connection closed remote={} cause={}",
           ctx.channel().remoteAddress(),
--- a/src/test/java/gladeknot/ArchitectureTest.java
+++ b/src/test/java/gladeknot/ArchitectureTest.java
@@ -51,7 +51,8 @@
           "tracing",
           "policy",
           "settings",
-          "json");
+          "json",
+          "errors");
 
   private static final Path SOURCES = Path.of("src", "main", "java");
 
--- a/src/test/java/gladeknot/standin/LoopbackScale.java
+++ b/src/test/java/gladeknot/standin/LoopbackScale.java
@@ -11,15 +11,21 @@
  * @param teams the teams with their limits, amounts in thousandths
  * @param taskMicros run time of tasks that end by themselves, in microseconds
  * @param valueKilobytes largest value that the state service takes, in KiB
+ * @param stateRps requests per second that the state service is said to serve
+ * @param writeRps writes per second that the state service is said to serve
  */
 public record LoopbackScale(
     int machines,
     int machineGpus,
     List<Settings.Team> teams,
     long taskMicros,
-    double valueKilobytes) {
+    double valueKilobytes,
+    double stateRps,
+    double writeRps) {
   private static final double DEFAULT_VALUE_KILOBYTES = 8;
   private static final int BYTES_PER_KILOBYTE = 1024;
+  private static final double DEFAULT_STATE_RPS = 200;
+  private static final double DEFAULT_WRITE_RPS = 80;
   private static final double THOUSANDTHS_PER_UNIT = 1000;
 
   /** Twenty machines and one team whose tasks run for one second. */
@@ -31,6 +37,35 @@
     this(machines, machineGpus, teams, taskMicros, DEFAULT_VALUE_KILOBYTES);
   }
 
+  /** Creates a scale with the default rates of the state service. */
+  public LoopbackScale(
+      int machines,
+      int machineGpus,
+      List<Settings.Team> teams,
+      long taskMicros,
+      double valueKilobytes) {
+    this(
+        machines,
+        machineGpus,
+        teams,
+        taskMicros,
+        valueKilobytes,
+        DEFAULT_STATE_RPS,
+        DEFAULT_WRITE_RPS);
+  }
+
+  /** Returns this scale with other rates of the state service. */
+  public LoopbackScale withStateRates(double requestsPerSecond, double writesPerSecond) {
+    return new LoopbackScale(
+        machines,
+        machineGpus,
+        teams,
+        taskMicros,
+        valueKilobytes,
+        requestsPerSecond,
+        writesPerSecond);
+  }
+
   /** Returns the size of the largest value that the state service takes, in bytes. */
   int valueBytes() {
     return (int) (valueKilobytes * BYTES_PER_KILOBYTE);
@@ -38,12 +73,17 @@
 
   /** Returns this scale with another run time of tasks. */
   public LoopbackScale withTaskMicros(long micros) {
-    return new LoopbackScale(machines, machineGpus, teams, micros, valueKilobytes);
+    return new LoopbackScale(
+        machines, machineGpus, teams, micros, valueKilobytes, stateRps, writeRps);
   }
 
   /** Returns the limits of the state service in the form of the settings file. */
   String stateSettings() {
-    return "[cluster.state]\nrps = 200.0\nwrite_rps = 80.0\ntxn_ops = 12\nvalue_kb = "
+    return "[cluster.state]\nrps = "
+        + stateRps
+        + "\nwrite_rps = "
+        + writeRps
+        + "\ntxn_ops = 12\nvalue_kb = "
         + valueKilobytes
         + "\n";
   }
--- a/src/test/java/gladeknot/standin/LoopbackServices.java
+++ b/src/test/java/gladeknot/standin/LoopbackServices.java
@@ -66,6 +66,8 @@
   private final List<String> nodes = new ArrayList<>();
   private final List<String> nodesForWorkers = new ArrayList<>();
   private final Map<String, String> workerAddresses = new ConcurrentHashMap<>();
+  private Optional<StateRateLimits> stateLimits = Optional.empty();
+  private long stateCalls;
   private volatile boolean stopped;
   private boolean inOutage;
   private long stateAdvancedMicros;
@@ -139,6 +141,9 @@
 
   private ServiceResponse serveState(int node, String method, String uri, byte[] body)
       throws IOException {
+    if (!admitsStateCall(uri, body)) {
+      return StateRateLimits.refusal();
+    }
     if (uri.startsWith("/follow")) {
       return serveWatch(node, method, uri, body);
     }
@@ -152,6 +157,11 @@
     return serveStateCall(method, uri, body);
   }
 
+  private synchronized boolean admitsStateCall(String uri, byte[] body) {
+    stateCalls++;
+    return stateLimits.isEmpty() || stateLimits.get().admits(uri, body, now());
+  }
+
   private synchronized ServiceResponse serveStateCall(String method, String uri, byte[] body)
       throws IOException {
     advanceState();
@@ -273,6 +283,26 @@
     }
   }
 
+  /** Makes the state service refuse calls above the rates of the scale from now on. */
+  synchronized void enforceStateLimits() {
+    stateLimits = Optional.of(new StateRateLimits(scale.stateRps(), scale.writeRps()));
+  }
+
+  /** Returns the number of calls to the state service so far. */
+  synchronized long stateCalls() {
+    return stateCalls;
+  }
+
+  /** Returns the number of calls to the state service that were refused because of its rates. */
+  synchronized long refusedStateCalls() {
+    return stateLimits.map(StateRateLimits::refused).orElse(0L);
+  }
+
+  /** Stores a key before any controller runs. */
+  public synchronized void presetState(String key, Map<String, Object> data) {
+    state.preset(key, data);
+  }
+
   /** Returns the faults of the state service. */
   public StateServiceFaults stateFaults() {
     return stateFaults;
