Keep finished jobs out of the watch cache

Cause: WatchCache and JobRegistry kept the final record of every job.

Change: the cache reports a final record to its listeners and forgets it (CacheFilter); KeyLister passes over final records as pages come, unless they end a job that the cache has. JobRegistry keeps the 4,096 finished jobs used last. JobLookup reads the record of a job that the registry doesn't know (KeyReader: within the request rate, after lists and barrier reads): for polls, cancellations, submissions that would be rejected or conflict, and dependencies. DependencyResolver looks up the dependencies of held jobs after a start. Delegates kill the tasks of jobs that aren't unfinished; the barrier before it makes that exact. What is stored and sent is unchanged.

--- a/src/main/java/gladeknot/app/ControllerComponents.java
+++ b/src/main/java/gladeknot/app/ControllerComponents.java
@@ -7,7 +7,9 @@
 import gladeknot.connectivity.HeartbeatObserver;
 import gladeknot.fleet.Fleet;
 import gladeknot.fleet.InstanceCatalog;
+import gladeknot.jobs.DependencyResolver;
 import gladeknot.jobs.Job;
+import gladeknot.jobs.JobRecordCodec;
 import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobRequestHandler;
 import gladeknot.lifecycle.TaskLifecycle;
@@ -54,6 +56,7 @@
   final Fleet fleet;
   final HomeShardSelector homeShards;
   final JobRequestHandler jobRequests;
+  final DependencyResolver dependencies;
   final HeartbeatHandler heartbeats;
 
   ControllerComponents(
@@ -64,7 +67,13 @@
       TaskTracer tracer) {
     connectivity =
         features.partialCuts().map(feature -> new ConnectivityMonitor(settings, feature, outbox));
-    stateStore = new StateStore(settings, outbox, random, new StateChangeDispatcher(this));
+    stateStore =
+        new StateStore(
+            settings,
+            outbox,
+            random,
+            (key, data) -> !JobRecordCodec.isFinalRecord(key, data),
+            new StateChangeDispatcher(this));
     membership = newMembership(settings, policy);
     jobs = new JobRegistry(this::onJobChange);
     slices = newSlices();
@@ -75,6 +84,7 @@
     fleet = newFleet(settings, policy);
     homeShards = new HomeShardSelector(settings, membership, jobs, workers, catalog::type);
     jobRequests = newJobRequests(settings, tracer);
+    dependencies = new DependencyResolver(stateStore, jobs);
     heartbeats = newHeartbeats(settings);
     committer.setListener(this::onCommit);
     committer.useAdmission(quota.admission());
--- a/src/main/java/gladeknot/jobs/JobRecordCodec.java
+++ b/src/main/java/gladeknot/jobs/JobRecordCodec.java
@@ -38,6 +38,11 @@
     return Json.of(PHASE, PHASE_CANCELLED, TASKS, tasks);
   }
 
+  /** Returns whether a key holds the final record of a job. */
+  public static boolean isFinalRecord(String key, Map<String, Object> data) {
+    return key.startsWith(Job.KEY_PREFIX) && data.containsKey(PHASE);
+  }
+
   /**
    * Decodes a job's record.
    *
--- a/src/main/java/gladeknot/jobs/JobRegistry.java
+++ b/src/main/java/gladeknot/jobs/JobRegistry.java
@@ -3,13 +3,15 @@
 import gladeknot.state.Entry;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * All accepted jobs, as shown by the watch cache.
+ * The unfinished jobs, as shown by the watch cache, and the finished jobs that were used last.
+ *
+ * <p>Other finished jobs are not known here, see {@link JobLookup}. Memory therefore grows with the
+ * unfinished jobs and not with the finished ones.
  *
  * <p>A job with dependencies that are not completed is <em>held</em> and not among the active jobs.
  * Placement and scale-out don't see it before all of its dependencies are completed. A job that
@@ -27,7 +29,7 @@
   }
 
   private final Map<String, Job> active = new LinkedHashMap<>();
-  private final Map<String, Job> finished = new HashMap<>();
+  private final FinishedJobCache finished = new FinishedJobCache();
   private final DependencyGraph dependencies = new DependencyGraph(this::finished);
   private final Listener listener;
   private long changeCount;
@@ -61,22 +63,22 @@
     return job != null ? job : dependencies.held(id);
   }
 
-  /** Returns whether a job is completed or cancelled; false for an unknown job. */
-  public boolean isFinished(String id) {
-    return finished(id) != null;
-  }
-
   /**
    * Returns a job that is completed, or cancelled directly or because of a dependency; null if it
-   * is neither.
+   * is neither, or finished and not known here.
    */
   public Job finished(String id) {
     Job job = finished.get(id);
     return job != null ? job : dependencies.cancelled(id);
   }
 
-  /** Returns whether a job was accepted, according to the cache. */
-  public boolean isKnown(String id) {
+  /** Returns whether a job is known to be finished; false for many finished jobs. */
+  boolean isFinished(String id) {
+    return finished(id) != null;
+  }
+
+  /** Returns whether a job is known to be accepted; false for many finished jobs. */
+  boolean isKnown(String id) {
     return unfinished(id) != null || isFinished(id);
   }
 
@@ -90,6 +92,11 @@
     return dependencies.openDependencies(id);
   }
 
+  /** Returns the dependencies of held jobs that are not known to be accepted. */
+  List<String> unknownDependencies() {
+    return dependencies.allOpenDependencies().stream().filter(id -> !isKnown(id)).toList();
+  }
+
   /** Returns a number that increases with every change. */
   public long changeCount() {
     return changeCount;
@@ -110,14 +117,25 @@
       dependencies.add(now, released);
       released.forEach(job -> activate(before, job));
     } else {
-      finished.put(id, now);
+      finished.put(now);
       listener.onJobChange(before, now);
-      List<Job> released = new ArrayList<>();
-      dependencies.onFinished(id, released);
-      released.forEach(job -> activate(null, job));
+      releaseDependents(now);
     }
   }
 
+  /** Applies the final record of a job that was read from the state service. */
+  void onFinalRecordRead(Job job) {
+    changeCount++;
+    finished.put(job);
+    releaseDependents(job);
+  }
+
+  private void releaseDependents(Job job) {
+    List<Job> released = new ArrayList<>();
+    dependencies.onFinished(job.id(), released);
+    released.forEach(dependent -> activate(null, dependent));
+  }
+
   private void activate(Job before, Job job) {
     active.put(job.id(), job);
     listener.onJobChange(before, job);
--- a/src/main/java/gladeknot/jobs/JobRequestHandler.java
+++ b/src/main/java/gladeknot/jobs/JobRequestHandler.java
@@ -12,7 +12,8 @@
  * Answers users' requests: submissions, polls and cancellations.
  *
  * <p>Submissions are idempotent: a repeated submission is answered like a poll of the job. Final
- * states are answered from the cache. Everything else is answered after a read barrier or a commit.
+ * states that the registry knows are answered at once. Jobs that it does not know are read from the
+ * state service. Everything else is answered after a read barrier or a commit.
  */
 public final class JobRequestHandler {
   /** The handler's view of the rest of the controller. */
@@ -42,6 +43,7 @@
   private final StateStore stateStore;
   private final JobRegistry jobs;
   private final ClusterView cluster;
+  private final JobLookup lookup;
   private final JobAnswers answers;
   private final SubmissionValidator validator;
   private final RequestCommitter committer;
@@ -57,6 +59,7 @@
     this.stateStore = stateStore;
     this.jobs = jobs;
     this.cluster = cluster;
+    this.lookup = new JobLookup(stateStore, jobs);
     this.answers = new JobAnswers(outbox);
     this.validator = new SubmissionValidator(settings, stateStore, jobs, cluster);
     this.committer =
@@ -71,6 +74,14 @@
       poll(submission.request(), submission.jobId());
     }
 
+    @Override
+    public void onConflict(PendingRequest.Submission submission) {
+      long request = submission.request();
+      String id = submission.jobId();
+      lookUp(
+          request, id, () -> poll(request, id), () -> committer.submit(request, submission.spec()));
+    }
+
     @Override
     public void onNoUnfinishedJob(PendingRequest.Cancellation cancellation) {
       cancel(cancellation.request(), cancellation.jobId());
@@ -97,39 +108,56 @@
     if (refuseWhileStale(request)) {
       return;
     }
-    handleOutcome(request, validator.validate(spec));
+    handleOutcome(request, spec, validator.validate(spec));
   }
 
-  private void handleOutcome(long request, SubmissionOutcome outcome) {
-    if (outcome instanceof SubmissionOutcome.Accepted accepted) {
-      committer.submit(request, accepted.spec());
-    } else if (outcome instanceof SubmissionOutcome.AlreadyAccepted alreadyAccepted) {
-      poll(request, alreadyAccepted.id());
+  private void handleOutcome(long request, JobSpec spec, SubmissionOutcome outcome) {
+    if (outcome instanceof SubmissionOutcome.Accepted) {
+      committer.submit(request, spec);
+    } else if (outcome instanceof SubmissionOutcome.AlreadyAccepted) {
+      poll(request, spec.id());
     } else if (outcome instanceof SubmissionOutcome.Rejected rejected) {
-      answers.rejected(request, rejected);
+      rejectIfUnknown(request, spec, rejected);
     } else if (outcome instanceof SubmissionOutcome.RetryLater retryLater) {
       answers.retryLater(request, retryLater.reason());
-    } else if (outcome instanceof SubmissionOutcome.NeedsReadBarrier needsBarrier) {
-      JobSpec spec = needsBarrier.spec();
-      afterReadBarrier(request, () -> handleOutcome(request, validator.validateDependencies(spec)));
+    } else if (outcome instanceof SubmissionOutcome.NeedsLookup needsLookup) {
+      lookUpDependency(request, spec, needsLookup.dependency());
     }
   }
 
+  /** Rejects a submission, unless it repeats one that was accepted. */
+  private void rejectIfUnknown(long request, JobSpec spec, SubmissionOutcome.Rejected rejected) {
+    lookUp(
+        request,
+        spec.id(),
+        () -> poll(request, spec.id()),
+        () -> answers.rejected(request, rejected));
+  }
+
+  private void lookUpDependency(long request, JobSpec spec, String dependency) {
+    lookUp(
+        request,
+        dependency,
+        () -> handleOutcome(request, spec, validator.validate(spec)),
+        () -> rejectIfUnknown(request, spec, SubmissionErrors.unknownDependency(dependency)));
+  }
+
   /** Answers with the state of a job. */
   public void poll(long request, String id) {
-    if (answerIfFinished(request, id) || refuseWhileStale(request)) {
+    if (answerIfFinished(request, id) || refuseUntilLoaded(request)) {
       return;
     }
-    afterReadBarrier(request, () -> answerState(request, id));
+    if (jobs.unfinished(id) == null) {
+      lookUp(request, id, () -> poll(request, id), () -> answers.noSuchJob(request));
+    } else if (!refuseWhileStale(request)) {
+      afterReadBarrier(request, () -> answerState(request, id));
+    }
   }
 
   private void answerState(long request, String id) {
-    if (answerIfFinished(request, id)) {
-      return;
-    }
     Job job = jobs.unfinished(id);
     if (job == null) {
-      answers.noSuchJob(request);
+      poll(request, id);
       return;
     }
     // A held job has no slices, so both counts are 0.
@@ -154,21 +182,10 @@
     if (answerFinalPhaseIfFinished(request, id) || refuseWhileStale(request)) {
       return;
     }
-    if (jobs.unfinished(id) != null) {
-      committer.cancel(request, id);
-      return;
-    }
-    afterReadBarrier(request, () -> cancelIfKnown(request, id));
-  }
-
-  private void cancelIfKnown(long request, String id) {
-    if (answerFinalPhaseIfFinished(request, id)) {
-      return;
-    }
     if (jobs.unfinished(id) != null) {
       committer.cancel(request, id);
     } else {
-      answers.noSuchJob(request);
+      lookUp(request, id, () -> cancel(request, id), () -> answers.noSuchJob(request));
     }
   }
 
@@ -185,15 +202,50 @@
    * request was refused.
    */
   private boolean refuseWhileStale(long request) {
-    String reason = stateStore.loaded() ? cluster.refusal() : "the state is not read yet";
+    if (refuseUntilLoaded(request)) {
+      return true;
+    }
+    String reason = cluster.refusal();
     if (reason != null) {
       answers.retryLater(request, reason);
     }
     return reason != null;
   }
 
+  /** Refuses a request until the cache is loaded. Returns whether the request was refused. */
+  private boolean refuseUntilLoaded(long request) {
+    if (!stateStore.loaded()) {
+      answers.retryLater(request, "the state is not read yet");
+    }
+    return !stateStore.loaded();
+  }
+
   private void afterReadBarrier(long request, Runnable whenFresh) {
-    stateStore.readBarrier(
-        whenFresh, () -> answers.retryLater(request, JobAnswers.STATE_SERVICE_UNREACHABLE));
+    stateStore.readBarrier(whenFresh, () -> stateServiceUnreachable(request));
+  }
+
+  /**
+   * Looks up a job that the registry does not know. Runs {@code whenKnown} once the registry knows
+   * the job, or {@code whenUnknown} if no such job was accepted.
+   */
+  private void lookUp(long request, String id, Runnable whenKnown, Runnable whenUnknown) {
+    lookup.lookUp(
+        id,
+        result -> {
+          if (result instanceof JobLookup.Result.Finished) {
+            whenKnown.run();
+          } else if (result instanceof JobLookup.Result.Unfinished unfinished) {
+            stateStore.whenRevisionReached(
+                unfinished.revision(), whenKnown, () -> stateServiceUnreachable(request));
+          } else if (result instanceof JobLookup.Result.Unknown) {
+            whenUnknown.run();
+          } else {
+            stateServiceUnreachable(request);
+          }
+        });
+  }
+
+  private void stateServiceUnreachable(long request) {
+    answers.retryLater(request, JobAnswers.STATE_SERVICE_UNREACHABLE);
   }
 }
--- a/src/main/java/gladeknot/jobs/RequestCommitter.java
+++ b/src/main/java/gladeknot/jobs/RequestCommitter.java
@@ -22,6 +22,11 @@
     /** Handles a submission whose job has been accepted in the meantime. */
     void onAlreadyAccepted(PendingRequest.Submission submission);
 
+    /**
+     * Handles a submission that conflicts with the record of a job that the registry does not know.
+     */
+    void onConflict(PendingRequest.Submission submission);
+
     /** Handles a cancellation whose job is not, or no longer, unfinished. */
     void onNoUnfinishedJob(PendingRequest.Cancellation cancellation);
   }
@@ -185,7 +190,7 @@
     inFlight = false;
     switch (outcome.status()) {
       case COMMITTED -> answerCommitted(requests);
-      case CONFLICT -> retryAtRevision(outcome.revision(), requests);
+      case CONFLICT -> retryAfterConflict(outcome, requests);
       case UNKNOWN ->
           // The transaction may still be applied. A repeated request finds the job or commits it
           // again.
@@ -243,16 +248,26 @@
   }
 
   /**
-   * Handles a conflict: another controller has changed one of the jobs. The requests are queued
-   * again once the cache has reached {@code revision}, and each is checked anew.
+   * Handles a conflict: a job exists already, or another controller has changed one. Each request
+   * is checked anew once the cache has reached the revision of the conflict.
    */
-  private void retryAtRevision(long revision, List<PendingRequest> requests) {
+  private void retryAfterConflict(CommitOutcome conflict, List<PendingRequest> requests) {
     stateStore.whenRevisionReached(
-        revision,
+        conflict.revision(),
         () -> {
-          queue.addAll(requests);
+          requests.forEach(request -> retry(request, conflict));
           flush();
         },
         () -> refuseAll(requests, JobAnswers.STATE_SERVICE_UNREACHABLE));
   }
+
+  private void retry(PendingRequest pending, CommitOutcome conflict) {
+    String id = pending.jobId();
+    boolean unknownRecord = conflict.conflictingKeys().contains(Job.key(id)) && !jobs.isKnown(id);
+    if (unknownRecord && pending instanceof PendingRequest.Submission submission) {
+      outdatedRequests.onConflict(submission);
+    } else {
+      queue.add(pending);
+    }
+  }
 }
--- a/src/main/java/gladeknot/jobs/SubmissionOutcome.java
+++ b/src/main/java/gladeknot/jobs/SubmissionOutcome.java
@@ -5,8 +5,8 @@
   /** The submission is valid and may be committed. */
   record Accepted(JobSpec spec) implements SubmissionOutcome {}
 
-  /** The submission names dependencies that the cache may be too old to show. */
-  record NeedsReadBarrier(JobSpec spec) implements SubmissionOutcome {}
+  /** The submission names a dependency that the registry does not know. */
+  record NeedsLookup(JobSpec spec, String dependency) implements SubmissionOutcome {}
 
   /** A job with this id was accepted before, so the submission is a repeated one. */
   record AlreadyAccepted(String id) implements SubmissionOutcome {}
--- a/src/main/java/gladeknot/jobs/SubmissionValidator.java
+++ b/src/main/java/gladeknot/jobs/SubmissionValidator.java
@@ -2,7 +2,7 @@
 
 import gladeknot.jobs.SubmissionOutcome.Accepted;
 import gladeknot.jobs.SubmissionOutcome.AlreadyAccepted;
-import gladeknot.jobs.SubmissionOutcome.NeedsReadBarrier;
+import gladeknot.jobs.SubmissionOutcome.NeedsLookup;
 import gladeknot.jobs.SubmissionOutcome.RetryLater;
 import gladeknot.json.Json;
 import gladeknot.settings.Settings;
@@ -33,7 +33,10 @@
     this.cluster = cluster;
   }
 
-  /** Validates a submission against the cache, however old the cache is. */
+  /**
+   * Validates a submission against the jobs that the registry knows. A rejection does not hold for
+   * a job that was accepted before.
+   */
   SubmissionOutcome validate(JobSpec spec) {
     if (jobs.isKnown(spec.id())) {
       return new AlreadyAccepted(spec.id());
@@ -54,20 +57,13 @@
     if (spec.dependencies().contains(spec.id())) {
       return SubmissionErrors.dependsOnItself();
     }
-    if (!spec.dependencies().stream().allMatch(jobs::isKnown)) {
-      return new NeedsReadBarrier(spec);
-    }
     return validateDependencies(spec);
   }
 
-  /** Validates a submission's dependencies. The cache must be recent enough to show all of them. */
-  SubmissionOutcome validateDependencies(JobSpec spec) {
-    if (jobs.isKnown(spec.id())) {
-      return new AlreadyAccepted(spec.id());
-    }
+  private SubmissionOutcome validateDependencies(JobSpec spec) {
     for (String dependency : spec.dependencies()) {
       if (!jobs.isKnown(dependency)) {
-        return SubmissionErrors.unknownDependency(dependency);
+        return new NeedsLookup(spec, dependency);
       }
       Job job = jobs.unfinished(dependency);
       if (job != null && job.spec().shape() == JobSpec.Shape.SERVICE) {
--- a/src/main/java/gladeknot/lifecycle/FinishedJobs.java
+++ b/src/main/java/gladeknot/lifecycle/FinishedJobs.java
@@ -75,12 +75,13 @@
   }
 
   /**
-   * Returns kill commands for a heartbeat's tasks whose jobs are finished according to the cache.
+   * Returns kill commands for a heartbeat's tasks whose jobs are finished. The cache must be at
+   * least as recent as the heartbeat: it then shows each unfinished job that tasks were started of.
    */
   List<WorkerCommand> kills(Heartbeat heartbeat) {
     List<WorkerCommand> kills = new ArrayList<>();
     for (Heartbeat.TaskStatus status : heartbeat.tasks()) {
-      if (!status.ended() && jobs.isFinished(status.job())) {
+      if (!status.ended() && jobs.unfinished(status.job()) == null) {
         kills.add(WorkerCommand.Kill.immediately(status.name(), status.attempt()));
       }
     }
--- a/src/main/java/gladeknot/state/CacheSynchronizer.java
+++ b/src/main/java/gladeknot/state/CacheSynchronizer.java
@@ -56,7 +56,7 @@
     this.barriers = barriers;
     this.lag = lag;
     this.listener = listener;
-    this.lister = new KeyLister(client, random, this::onListed);
+    this.lister = new KeyLister(client, random, cache::affects, this::onListed);
     this.watchBackoff = new RetryBackoff(random);
   }
 
--- a/src/main/java/gladeknot/state/KeyLister.java
+++ b/src/main/java/gladeknot/state/KeyLister.java
@@ -30,14 +30,20 @@
   private static final long MICROS_PER_MILLI = 1000;
 
   /**
-   * All keys that were listed.
+   * The selected keys of a complete list.
    *
    * @param firstRevision revision of the first page; the entries hold all changes up to it
    * @param lastRevision revision of the last page; the entries may hold changes up to it
    */
   record Listing(TreeMap<String, Entry> entries, long firstRevision, long lastRevision) {}
 
+  /** Decides which of the listed keys are passed on. */
+  interface Selection {
+    boolean includes(ListedKey listed);
+  }
+
   private final StateServiceClient client;
+  private final Selection selection;
   private final RetryBackoff backoff;
   private final Consumer<Listing> onComplete;
   private TreeMap<String, Entry> entries;
@@ -45,13 +51,19 @@
   private long firstRevision;
   private boolean pageInFlight;
   private int pages;
+  private int skipped;
   private int retries;
   private long startMicros;
   private long nowMicros;
 
-  /** Creates a lister that passes each complete list to {@code onComplete}. */
-  KeyLister(StateServiceClient client, RandomGenerator random, Consumer<Listing> onComplete) {
+  /** Creates a lister that passes the selected keys of each list to {@code onComplete}. */
+  KeyLister(
+      StateServiceClient client,
+      RandomGenerator random,
+      Selection selection,
+      Consumer<Listing> onComplete) {
     this.client = client;
+    this.selection = selection;
     this.backoff = new RetryBackoff(random);
     this.onComplete = onComplete;
   }
@@ -70,6 +82,7 @@
     afterKey = FIRST_PAGE;
     firstRevision = UNKNOWN_REVISION;
     pages = 0;
+    skipped = 0;
     retries = 0;
     startMicros = nowMicros;
   }
@@ -110,7 +123,11 @@
     String previousKey = afterKey;
     for (ListedKey item : page.keys()) {
       afterKey = item.key();
-      entries.put(afterKey, item.entry());
+      if (selection.includes(item)) {
+        entries.put(afterKey, item.entry());
+      } else {
+        skipped++;
+      }
     }
     if (page.more() && !afterKey.equals(previousKey)) {
       requestPageIfDue();
@@ -123,8 +140,9 @@
     Listing listing = new Listing(entries, firstRevision, lastRevision);
     entries = null;
     LOG.info(
-        "state listed keys={} pages={} retries={} ms={}",
+        "state listed keys={} skipped={} pages={} retries={} ms={}",
         listing.entries().size(),
+        skipped,
         pages,
         retries,
         (nowMicros - startMicros) / MICROS_PER_MILLI);
--- a/src/main/java/gladeknot/state/RequestLimits.java
+++ b/src/main/java/gladeknot/state/RequestLimits.java
@@ -16,7 +16,7 @@
    */
   private static final double TOTAL_SHARE = 0.92;
 
-  /** Number of request tokens that a transaction leaves for reads. */
+  /** Number of request tokens that a transaction, or a read of a single key, leaves for reads. */
   private static final double REQUESTS_RESERVED_FOR_READS = 2;
 
   /** Number of request tokens that a read leaves for lease renewals. */
@@ -87,6 +87,14 @@
     return requests.tryAcquire(1, REQUESTS_RESERVED_FOR_RENEWALS, nowMicros);
   }
 
+  /**
+   * Takes the token of one read of a single key if there is one, and returns whether there was.
+   * Lists and barrier reads come first.
+   */
+  boolean tryAcquireLookup() {
+    return requests.tryAcquire(1, REQUESTS_RESERVED_FOR_READS, nowMicros);
+  }
+
   /** Takes the token of one request that must not wait, even if there is no token. */
   void forceAcquireRequest() {
     requests.forceAcquire(1, nowMicros);
--- a/src/main/java/gladeknot/state/StateServiceClient.java
+++ b/src/main/java/gladeknot/state/StateServiceClient.java
@@ -19,6 +19,11 @@
     return requestLimits.tryAcquireRead();
   }
 
+  /** Takes the token of one read of a single key, see {@link RequestLimits#tryAcquireLookup}. */
+  boolean tryAcquireLookup() {
+    return requestLimits.tryAcquireLookup();
+  }
+
   /** Sends a request for which the caller has acquired the tokens; {@code body} may be null. */
   void call(
       String method, String path, Object body, long timeoutMicros, Outbox.ReplyHandler handler) {
--- a/src/main/java/gladeknot/state/StateServiceCodec.java
+++ b/src/main/java/gladeknot/state/StateServiceCodec.java
@@ -81,8 +81,7 @@
     Map<String, Object> body = reply.object();
     List<ListedKey> keys = new ArrayList<>();
     for (Map<String, Object> item : Json.objects(body, "items")) {
-      Entry entry = new Entry(Json.map(item.get(DATA)), Json.longValue(item, MOD_REVISION, 0));
-      keys.add(new ListedKey(Json.text(item, "path"), entry));
+      keys.add(new ListedKey(Json.text(item, "path"), entry(item)));
     }
     return new ListPage(Json.longValue(body, REVISION, 0), keys, Json.flag(body, "more"));
   }
@@ -109,6 +108,19 @@
     return new WatchEvent(writtenKey, Json.map(event.get(DATA)), modRevision);
   }
 
+  /** Decodes the reply to the read of one key. */
+  static KeyRead keyRead(Outbox.Reply reply) {
+    return switch (reply.status()) {
+      case OK -> new KeyRead.Found(entry(reply.object()));
+      case NOT_FOUND -> new KeyRead.Absent();
+      default -> new KeyRead.Failed();
+    };
+  }
+
+  private static Entry entry(Map<String, Object> item) {
+    return new Entry(Json.map(item.get(DATA)), Json.longValue(item, MOD_REVISION, 0));
+  }
+
   /**
    * Decodes the state service's revision from the reply to a read of a key that never exists; empty
    * if the reply does not contain it.
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -31,19 +31,32 @@
   private final TransactionLimits limits;
   private final RequestLimits requestLimits;
   private final StateServiceClient client;
-  private final WatchCache cache = new WatchCache();
+  private final KeyReader keyReader;
+  private final WatchCache cache;
   private final ReadBarriers barriers = new ReadBarriers();
   private final CacheLag lag = new CacheLag();
   private final CacheSynchronizer synchronizer;
   private long nowMicros;
 
-  /** Creates a client with an empty cache. */
+  /** Creates a client with an empty cache that keeps all keys. */
   public StateStore(
       Settings settings, Outbox outbox, RandomGenerator random, ChangeListener listener) {
+    this(settings, outbox, random, CacheFilter.KEEP_ALL, listener);
+  }
+
+  /** Creates a client with an empty cache that keeps what the filter selects. */
+  public StateStore(
+      Settings settings,
+      Outbox outbox,
+      RandomGenerator random,
+      CacheFilter filter,
+      ChangeListener listener) {
+    this.cache = new WatchCache(filter);
     this.listener = listener;
     this.limits = new TransactionLimits(settings);
     this.requestLimits = new RequestLimits(settings, limits);
     this.client = new StateServiceClient(settings.stateAddress(), outbox, requestLimits);
+    this.keyReader = new KeyReader(client);
     this.synchronizer = new CacheSynchronizer(client, cache, barriers, lag, listener, random);
   }
 
@@ -78,7 +91,7 @@
     return barriers.currentAsOfMicros();
   }
 
-  /** Returns the cached entry of a key, or null if there is none. */
+  /** Returns the cached entry of a key, or null if there is none or it is not kept. */
   public Entry get(String key) {
     return cache.get(key);
   }
@@ -125,6 +138,17 @@
       readForBarriers();
     }
     barriers.expire(currentMicros);
+    keyReader.tick(currentMicros);
+  }
+
+  /**
+   * Reads a key from the state service, whether the cache keeps it or not.
+   *
+   * @param callback receives the key's state at some time after this call, or {@link
+   *     KeyRead.Failed} if the read takes longer than {@link KeyReader#TIMEOUT_MICROS}
+   */
+  public void read(String key, Consumer<KeyRead> callback) {
+    keyReader.read(key, callback);
   }
 
   private void readForBarriers() {
--- a/src/main/java/gladeknot/state/WatchCache.java
+++ b/src/main/java/gladeknot/state/WatchCache.java
@@ -1,5 +1,6 @@
 package gladeknot.state;
 
+import gladeknot.state.StateServiceCodec.ListedKey;
 import gladeknot.state.StateServiceCodec.WatchEvent;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,20 +10,31 @@
 import java.util.TreeMap;
 
 /**
- * Cache of every key. Changes arrive from lists, from watches and from this controller's own
- * transactions, in any order. For each key, the change with the highest revision wins.
+ * Cache of the keys whose values the filter keeps. Changes arrive from lists, from watches and from
+ * this controller's own transactions, in any order. For each key, the change with the highest
+ * revision wins.
  */
 final class WatchCache {
+  private final CacheFilter filter;
   private final TreeMap<String, Entry> entries = new TreeMap<>();
 
   /**
-   * Keys that transactions of this controller deleted, with the revisions of the deletions, which
-   * the watch has not reached yet.
+   * Keys that changes have removed from the cache, with the revisions of the changes, which the
+   * watch has not reached yet.
    */
-  private final Map<String, Long> deletedAt = new HashMap<>();
+  private final Map<String, Long> removedAt = new HashMap<>();
 
   private long revision;
 
+  WatchCache(CacheFilter filter) {
+    this.filter = filter;
+  }
+
+  /** Returns whether a listed key is kept, or replaces a value that is kept. */
+  boolean affects(ListedKey listed) {
+    return filter.keeps(listed.key(), listed.entry().data()) || entries.containsKey(listed.key());
+  }
+
   /** Returns the revision up to which the cache holds all changes. */
   long revision() {
     return revision;
@@ -85,7 +97,7 @@
   /** Records that the watch has reached a revision. */
   void advanceTo(long watchedRevision) {
     revision = Math.max(revision, watchedRevision);
-    deletedAt.values().removeIf(at -> at <= revision);
+    removedAt.values().removeIf(at -> at <= revision);
   }
 
   /** Applies a committed transaction of this controller, and returns the resulting changes. */
@@ -95,7 +107,7 @@
       String key = mutation.key();
       if (isNewer(key, committedRevision)) {
         if (mutation.isDelete()) {
-          deletedAt.put(key, committedRevision);
+          removedAt.put(key, committedRevision);
           set(key, null, changes);
         } else {
           set(key, new Entry(mutation.data(), committedRevision), changes);
@@ -106,13 +118,26 @@
   }
 
   private boolean isNewer(String key, long changeRevision) {
-    return changeRevision > modRevision(key) && changeRevision > deletedAt.getOrDefault(key, 0L);
+    return changeRevision > modRevision(key) && changeRevision > removedAt.getOrDefault(key, 0L);
   }
 
   private void set(String key, Entry after, List<Change> changes) {
-    Entry before = after == null ? entries.remove(key) : entries.put(key, after);
+    Entry before =
+        after != null && isKept(key, after) ? entries.put(key, after) : remove(key, after);
     if (before != null || after != null) {
       changes.add(new Change(key, before, after));
     }
   }
+
+  private boolean isKept(String key, Entry entry) {
+    return filter.keeps(key, entry.data());
+  }
+
+  /** Removes a key because of a change; {@code after} is null if the change deleted the key. */
+  private Entry remove(String key, Entry after) {
+    if (after != null && after.modRevision() > revision) {
+      removedAt.put(key, after.modRevision());
+    }
+    return entries.remove(key);
+  }
 }
--- a/src/test/java/gladeknot/jobs/JobRegistryTest.java
+++ b/src/test/java/gladeknot/jobs/JobRegistryTest.java
@@ -37,6 +37,9 @@
     jobs.onChange(Job.key(id), new Entry(record, ++revision));
   }
 
+  /** Memory after a million finished jobs may be a tenth above that after this many. */
+  private static final int MAX_FINISHED_IN_MEMORY = 10_000;
+
   private void done(String id) {
     put(id, JobRecordCodec.encodeDone(1, 2_000));
   }
@@ -101,6 +104,21 @@
     assertEquals("req-last", jobs.active("req-last").id());
   }
 
+  /** Guards against memory that grows with the number of finished jobs. */
+  @Test
+  void numberOfFinishedJobsInMemoryIsBounded() {
+    int finished = 50_000;
+    for (int i = 0; i < finished; i++) {
+      done("req-" + i);
+    }
+    int known = 0;
+    for (int i = 0; i < finished; i++) {
+      known += jobs.isFinished("req-" + i) ? 1 : 0;
+    }
+    assertTrue(known <= MAX_FINISHED_IN_MEMORY, known + " finished jobs in memory");
+    assertTrue(jobs.isFinished("req-" + (finished - 1)));
+  }
+
   @Test
   void cancellationPropagatesToDependentsOnly() {
     accept("req-a");
