Golden file of delegates: a task of a job that was never accepted is killed

The golden case reports a task of a job that nobody submitted, which an owner kills too. The case now also reports a task of an unfinished job, which gets no command, as before.

--- a/src/test/java/gladeknot/golden/GoldenWorkersTest.java
+++ b/src/test/java/gladeknot/golden/GoldenWorkersTest.java
@@ -112,15 +112,18 @@
 
   /**
    * A worker with tasks is redirected to its owner first. When it comes back, the other controller
-   * answers as a delegate of the owner.
+   * answers as a delegate of the owner. It leaves tasks of unfinished jobs alone and kills others.
    */
   @Test
   void delegateRenewsLeasesForTheOwner() {
     GoldenCluster cluster = cluster(0, 1);
     long term = term(cluster, 0);
+    cluster.responseText(0, "POST", "/work", TestJobs.job("req-live", "ensemble", 20));
+    cluster.run(MICROS_PER_SECOND);
+    Object live = Heartbeats.running("req-live/0", 1);
     Object task = Heartbeats.running("req-unknown/0", 4);
-    put("first time", cluster, 1, Heartbeats.of(HOST, 1, term, task));
-    put("back again", cluster, 1, Heartbeats.of(HOST, 2, term, task));
+    put("first time", cluster, 1, Heartbeats.of(HOST, 1, term, live, task));
+    put("back again", cluster, 1, Heartbeats.of(HOST, 2, term, live, task));
     results.put("stored", cluster.stored("g/care/"));
     results.put("commits", SentCalls.commitsOf(cluster.calls, "g/care/"));
     new GoldenFile("workers/delegation.txt").checkAll(results);
