Take the number of shards from the state service, not from the settings

Cause: each controller counted shards by the members in its settings, so that the parts by five overlapped with the stored thirds.

Change: g/shards holds the number of shards, written once by whoever comes first, on condition that it is absent: the number of the shards that exist, or of the members on an empty store. A controller takes no lease before it works with that number; if it was built with another, it builds its components anew (ShardCount, Controller). The number stays when members come and go: shard N is at home at member N modulo the members; members above the number of shards own none until a failover, and serve users and workers. Unregistered machines are taken in by the owner of the shard that their hash selects, so that shards without a home of their own are covered too.

--- a/src/main/java/gladeknot/app/CachedShardView.java
+++ b/src/main/java/gladeknot/app/CachedShardView.java
@@ -2,19 +2,16 @@
 
 import gladeknot.connectivity.ShardView;
 import gladeknot.membership.Membership;
-import gladeknot.settings.Settings;
 import gladeknot.workers.WorkerRegistry;
 import java.util.Collection;
 import java.util.Optional;
 
 /** Gives the connectivity monitor a view of shards and workers, which belong to higher packages. */
 final class CachedShardView implements ShardView {
-  private final Settings settings;
   private final Membership membership;
   private final WorkerRegistry workers;
 
-  CachedShardView(Settings settings, Membership membership, WorkerRegistry workers) {
-    this.settings = settings;
+  CachedShardView(Membership membership, WorkerRegistry workers) {
     this.membership = membership;
     this.workers = workers;
   }
@@ -26,7 +23,7 @@
 
   @Override
   public String homeNode(int shard) {
-    return settings.nodes().get(shard);
+    return membership.homeNode(shard);
   }
 
   @Override
--- a/src/main/java/gladeknot/app/Controller.java
+++ b/src/main/java/gladeknot/app/Controller.java
@@ -10,7 +10,10 @@
 import gladeknot.state.CacheLag;
 import gladeknot.tracing.TaskTracer;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The controller as a deterministic state machine: its inputs are the time, requests, replies and
@@ -23,9 +26,16 @@
   private static final int RETRY_AFTER_SECONDS = 1;
   private static final long MICROS_PER_MILLI = 1000;
 
-  private final ControllerComponents components;
-  private final RequestRouter router;
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+
+  private final Settings settings;
+  private final Features features;
+  private final Policy policy;
+  private final RandomGenerator random;
   private final TaskTracer tracer;
+  private final Outbox outbox = new Outbox();
+  private ControllerComponents components;
+  private RequestRouter router;
 
   /** Creates a controller without tracing. */
   public Controller(Settings settings, Features features, Policy policy, RandomGenerator random) {
@@ -40,16 +50,41 @@
       RandomGenerator random,
       TaskTracer tracer) {
     policy.setSettings(settings);
+    this.settings = settings;
+    this.features = features;
+    this.policy = policy;
+    this.random = random;
     this.tracer = tracer;
-    this.components = new ControllerComponents(settings, features, policy, random, tracer);
-    this.router =
+    build(settings.nodes().size());
+  }
+
+  private void build(int shardCount) {
+    components =
+        new ControllerComponents(settings, shardCount, outbox, features, policy, random, tracer);
+    router =
         new RequestRouter(
-            components.outbox, this::answerHealth, components.jobRequests, components.heartbeats);
+            outbox, this::answerHealth, components.jobRequests, components.heartbeats);
+  }
+
+  /**
+   * Builds the components anew if another number of shards is stored than they work with. They have
+   * not acted yet, because they hold no lease before the numbers agree.
+   */
+  private void followStoredShardCount() {
+    OptionalInt stored = components.membership.otherShardCount();
+    if (stored.isPresent()) {
+      LOG.info(
+          "shard count differs from settings stored={} members={}",
+          stored.getAsInt(),
+          settings.nodes().size());
+      outbox.abandonCalls();
+      build(stored.getAsInt());
+    }
   }
 
   /** Returns the outbox, which holds the calls and answers to send and accepts replies to calls. */
   public Outbox outbox() {
-    return components.outbox;
+    return outbox;
   }
 
   /** Returns how often a team's quota was found exceeded, in a shard or by the quota record. */
@@ -115,6 +150,7 @@
     components.fleet.tick(nowMicros, wallMicros);
     components.committer.tick(nowMicros);
     components.archiver.tick(nowMicros);
+    followStoredShardCount();
   }
 
   /** Handles a message from another controller. */
@@ -135,9 +171,9 @@
             && components.membership.mayAct()
             && components.catalog.isKnown();
     if (ready) {
-      components.outbox.answer(request, OK, Json.of("ok", true));
+      outbox.answer(request, OK, Json.of("ok", true));
     } else {
-      components.outbox.retryLater(request, UNAVAILABLE, "not ready", RETRY_AFTER_SECONDS);
+      outbox.retryLater(request, UNAVAILABLE, "not ready", RETRY_AFTER_SECONDS);
     }
   }
 }
--- a/src/main/java/gladeknot/app/ControllerComponents.java
+++ b/src/main/java/gladeknot/app/ControllerComponents.java
@@ -39,7 +39,7 @@
  * first tick.
  */
 final class ControllerComponents {
-  final Outbox outbox = new Outbox();
+  final Outbox outbox;
   final WorkerRegistry workers = new WorkerRegistry();
   final InstanceCatalog catalog = new InstanceCatalog();
 
@@ -61,12 +61,16 @@
   final JobArchiver archiver;
   final HeartbeatHandler heartbeats;
 
+  /** Creates components that work with the given number of shards and share the outbox. */
   ControllerComponents(
       Settings settings,
+      int shardCount,
+      Outbox outbox,
       Features features,
       Policy policy,
       RandomGenerator random,
       TaskTracer tracer) {
+    this.outbox = outbox;
     connectivity =
         features.partialCuts().map(feature -> new ConnectivityMonitor(settings, feature, outbox));
     stateStore =
@@ -76,7 +80,7 @@
             random,
             (key, data) -> !JobRecordCodec.isFinalRecord(key, data),
             new StateChangeDispatcher(this));
-    membership = newMembership(settings, policy);
+    membership = newMembership(settings, shardCount, policy);
     jobs = new JobRegistry(this::onJobChange);
     slices = newSlices();
     committer = new TransactionCommitter(stateStore, membership, jobs, slices, tracer);
@@ -94,10 +98,11 @@
     lifecycle.useRestartLimit(quota::withholdsRestart);
   }
 
-  private Membership newMembership(Settings settings, Policy policy) {
+  private Membership newMembership(Settings settings, int shardCount, Policy policy) {
     Membership created =
         new Membership(
             settings,
+            shardCount,
             policy,
             stateStore,
             connectivity
@@ -106,8 +111,7 @@
             connectivity.<FailoverAdvisor>map(monitor -> monitor).orElse(FailoverAdvisor.NONE),
             new ShardOwnershipListener(this));
     connectivity.ifPresent(
-        monitor ->
-            monitor.attach(new CachedShardView(settings, created, workers), created.authority()));
+        monitor -> monitor.attach(new CachedShardView(created, workers), created.authority()));
     return created;
   }
 
--- a/src/main/java/gladeknot/app/StateChangeDispatcher.java
+++ b/src/main/java/gladeknot/app/StateChangeDispatcher.java
@@ -23,6 +23,10 @@
    */
   @Override
   public void onChanges(List<Change> changes) {
+    if (components.membership.otherShardCount().isPresent()) {
+      // The components are built anew before they can act, and read everything again.
+      return;
+    }
     dispatchSegments(changes);
     dispatchJobs(changes);
     dispatchSlicesAndWorkers(changes);
--- a/src/main/java/gladeknot/fleet/UnregisteredInstances.java
+++ b/src/main/java/gladeknot/fleet/UnregisteredInstances.java
@@ -136,10 +136,9 @@
     long firstListedMicros = firstListedMicrosByHost.computeIfAbsent(host, newHost -> nowMicros);
     long minUnregisteredMicros =
         LAG_FACTOR * settings.cloudLimits().listLagMicros() + LIST_INTERVAL_MICROS;
-    int shard = membership.homeShard();
-    // The hash of the host selects one home shard, so that only one controller registers it.
+    // The hash of the host selects a shard, so that only that shard's owner registers it.
+    int shard = Math.floorMod(host.hashCode(), membership.shardCount());
     if (nowMicros - firstListedMicros > minUnregisteredMicros
-        && Math.floorMod(host.hashCode(), membership.shardCount()) == shard
         && membership.permits(ControlAction.SCALE_OUT, shard)) {
       LOG.info("unregistered instance registered host={} shard={} seen=list", host, shard);
       registration.registerUnknown(host, shard, instance.type(), instance.zone(), instance.spot());
--- a/src/main/java/gladeknot/membership/FailoverTimer.java
+++ b/src/main/java/gladeknot/membership/FailoverTimer.java
@@ -16,13 +16,16 @@
 
   private static final long NOT_STARTED = 0;
 
-  private final int homeShard;
+  private final int ownIndex;
+  private final int members;
   private final OwnedShards shards;
   private final FailoverAdvisor advisor;
   private final long[] startedMicros;
 
-  FailoverTimer(int homeShard, int shardCount, OwnedShards shards, FailoverAdvisor advisor) {
-    this.homeShard = homeShard;
+  FailoverTimer(
+      int ownIndex, int members, int shardCount, OwnedShards shards, FailoverAdvisor advisor) {
+    this.ownIndex = ownIndex;
+    this.members = members;
     this.shards = shards;
     this.advisor = advisor;
     this.startedMicros = new long[shardCount];
@@ -38,7 +41,7 @@
     if (startedMicros[shard] == NOT_STARTED) {
       startedMicros[shard] = nowMicros;
     }
-    int ringPosition = Math.floorMod(homeShard - shard - 1, startedMicros.length);
+    int ringPosition = Math.floorMod(ownIndex - Membership.homeIndex(shard, members) - 1, members);
     long delayMicros = BASE_DELAY_MICROS + DELAY_STEP_MICROS * (ringPosition + shards.all().size());
     return nowMicros - startedMicros[shard] >= delayMicros + advisor.failoverDelayMicros(shard);
   }
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -8,6 +8,7 @@
 import gladeknot.state.StateStore;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -26,7 +27,8 @@
   private static final int FRESH_LEASE_DIVISOR = 3;
 
   private final List<String> nodes;
-  private final int homeShard;
+  private final int ownIndex;
+  private final ShardCount shardCount;
   private final StateStore stateStore;
   private final ShardTable table;
   private final LeaseTimes times;
@@ -38,18 +40,25 @@
   private final ShardTransfers transfers;
   private long nowMicros;
 
-  /** Creates a member that has no lease and owns no shard yet. */
+  /**
+   * Creates a member that has no lease and owns no shard yet.
+   *
+   * @param shardCount the number of shards to work with; the member does nothing unless it is, or
+   *     becomes, the stored one
+   */
   public Membership(
       Settings settings,
+      int shardCount,
       Policy policy,
       StateStore stateStore,
       Authority.StateLink stateLink,
       FailoverAdvisor advisor,
       ShardListener listener) {
     this.nodes = settings.nodes();
-    this.homeShard = nodes.indexOf(settings.node());
+    this.ownIndex = nodes.indexOf(settings.node());
     this.stateStore = stateStore;
-    this.table = new ShardTable(stateStore, nodes.size());
+    this.shardCount = new ShardCount(stateStore, shardCount);
+    this.table = new ShardTable(stateStore, shardCount);
     this.format = new StorageFormat(settings, stateStore, stateStore.limits(), table);
     this.times = LeaseTimes.of(settings.workers(), policy.micros(Policy.Name.STATE_LEASE));
     this.shards = new OwnedShards(table, listener);
@@ -61,14 +70,36 @@
             settings, stateStore, table, lease, delegations, shards, authority, advisor, listener);
   }
 
-  /** Returns the number of shards, which is the number of members. */
+  /** Returns the number of shards. */
   public int shardCount() {
-    return nodes.size();
+    return shardCount.count();
+  }
+
+  /**
+   * Returns the number of shards that the cache shows if it differs from the number that this
+   * member works with. The member then has to be replaced by one that works with that number.
+   */
+  public OptionalInt otherShardCount() {
+    int known = shardCount.known();
+    return known == 0 || known == shardCount() ? OptionalInt.empty() : OptionalInt.of(known);
   }
 
-  /** Returns this controller's home shard, which it owns in normal operation. */
+  /**
+   * Returns the shard that this controller prefers for new jobs and machines. In normal operation
+   * it owns this shard, unless there are more members than shards.
+   */
   public int homeShard() {
-    return homeShard;
+    return ownIndex % shardCount();
+  }
+
+  /** Returns the member that owns a shard in normal operation. */
+  public String homeNode(int shard) {
+    return nodes.get(homeIndex(shard, nodes.size()));
+  }
+
+  /** Returns the index of the member that owns a shard in normal operation. */
+  static int homeIndex(int shard, int members) {
+    return shard % members;
   }
 
   /** Returns the key of a shard, on which its owner's transactions are conditional. */
@@ -262,6 +293,10 @@
     if (!stateStore.loaded()) {
       return;
     }
+    if (!shardCount.isAgreed()) {
+      shardCount.storeIfAbsent(currentMicros);
+      return;
+    }
     lease.tick();
     if (lease.alive()) {
       format.tick(currentMicros);
--- a/src/main/java/gladeknot/membership/MembershipCodec.java
+++ b/src/main/java/gladeknot/membership/MembershipCodec.java
@@ -60,6 +60,16 @@
     return new FormatRecord((int) Json.longValue(data, FORMAT, FIRST_FORMAT), split);
   }
 
+  /** Returns the stored form of the number of shards. */
+  static Map<String, Object> encodeShardCount(int count) {
+    return Json.of(COUNTER, count);
+  }
+
+  /** Returns the stored number of shards. */
+  static int shardCount(Entry entry) {
+    return (int) Json.longValue(entry.data(), COUNTER, 0);
+  }
+
   /** Returns the stored form of the counter from which terms are drawn. */
   static Map<String, Object> encodeTermCounter(long lastTerm) {
     return Json.of(COUNTER, lastTerm);
--- a/src/main/java/gladeknot/membership/MembershipKeys.java
+++ b/src/main/java/gladeknot/membership/MembershipKeys.java
@@ -13,7 +13,12 @@
   /** Key of the storage format. */
   static final String FORMAT = StateStore.ROOT + "format";
 
-  private static final String SHARD_PREFIX = StateStore.ROOT + "shard/";
+  /** Key of the number of shards. */
+  static final String SHARD_COUNT = StateStore.ROOT + "shards";
+
+  /** Prefix of the shards' keys. */
+  static final String SHARD_PREFIX = StateStore.ROOT + "shard/";
+
   private static final String DELEGATION_PREFIX = StateStore.ROOT + "care/";
 
   private MembershipKeys() {}
--- a/src/main/java/gladeknot/membership/ShardTransfers.java
+++ b/src/main/java/gladeknot/membership/ShardTransfers.java
@@ -33,7 +33,7 @@
 
   private final String node;
   private final List<String> nodes;
-  private final int homeShard;
+  private final int ownIndex;
   private final StateStore stateStore;
   private final ShardTable table;
   private final StateLease lease;
@@ -59,7 +59,7 @@
       ShardListener listener) {
     this.node = settings.node();
     this.nodes = settings.nodes();
-    this.homeShard = nodes.indexOf(node);
+    this.ownIndex = nodes.indexOf(node);
     this.stateStore = stateStore;
     this.table = table;
     this.lease = lease;
@@ -67,10 +67,11 @@
     this.shards = shards;
     this.advisor = advisor;
     this.listener = listener;
-    this.failoverTimer = new FailoverTimer(homeShard, nodes.size(), shards, advisor);
+    this.failoverTimer =
+        new FailoverTimer(ownIndex, nodes.size(), table.shardCount(), shards, advisor);
     this.transaction =
         new ShardTransaction(settings, stateStore, table, lease, shards, authority, this::acquire);
-    this.retainUntilMicros = new long[nodes.size()];
+    this.retainUntilMicros = new long[table.shardCount()];
   }
 
   /** Checks the shards in order, if a check is due, until one of them needs a transaction. */
@@ -80,7 +81,7 @@
       return;
     }
     nextCheckMicros = currentMicros + CHECK_INTERVAL_MICROS;
-    for (int shard = 0; shard < nodes.size(); shard++) {
+    for (int shard = 0; shard < table.shardCount(); shard++) {
       if (checkShard(shard)) {
         return;
       }
@@ -106,7 +107,7 @@
 
   /** Takes a shard that never had an owner or was owned by a former incarnation of this node. */
   private boolean takeUnowned(int shard, ShardRecord record) {
-    boolean due = record.hasOwner() || shard == homeShard || failoverDelayElapsed(shard);
+    boolean due = record.hasOwner() || isHome(shard) || failoverDelayElapsed(shard);
     return due && take(shard, Map.of());
   }
 
@@ -121,7 +122,7 @@
 
   /** Takes a shard whose owner's lease has expired. The shard's home does so without delay. */
   private boolean failOver(int shard, String expiredOwner) {
-    boolean due = shard == homeShard || failoverDelayElapsed(shard);
+    boolean due = isHome(shard) || failoverDelayElapsed(shard);
     return due && take(shard, Map.of(MembershipKeys.liveness(expiredOwner), 0L));
   }
 
@@ -182,13 +183,21 @@
     if (preferred.isPresent()) {
       return preferred;
     }
-    return mayReturnHome(shard) ? Optional.of(nodes.get(shard)) : Optional.empty();
+    return mayReturnHome(shard) ? Optional.of(homeNode(shard)) : Optional.empty();
   }
 
   private boolean mayReturnHome(int shard) {
-    return shard != homeShard
+    return !isHome(shard)
         && nowMicros >= retainUntilMicros[shard]
-        && advisor.mayReturnHome(shard, nodes.get(shard));
+        && advisor.mayReturnHome(shard, homeNode(shard));
+  }
+
+  private boolean isHome(int shard) {
+    return Membership.homeIndex(shard, nodes.size()) == ownIndex;
+  }
+
+  private String homeNode(int shard) {
+    return nodes.get(Membership.homeIndex(shard, nodes.size()));
   }
 
   private void acquire(int shard) {
--- a/src/main/java/gladeknot/membership/StorageFormat.java
+++ b/src/main/java/gladeknot/membership/StorageFormat.java
@@ -222,7 +222,7 @@
       }
       revisions.put(MembershipKeys.liveness(node), liveness.modRevision());
     }
-    for (int shard = 0; shard < nodes.size(); shard++) {
+    for (int shard = 0; shard < table.shardCount(); shard++) {
       if (!isOwnedByLiveIncarnation(table.record(shard))) {
         return Optional.empty();
       }
--- a/src/main/java/gladeknot/outbox/Outbox.java
+++ b/src/main/java/gladeknot/outbox/Outbox.java
@@ -89,6 +89,12 @@
     }
   }
 
+  /** Drops the calls that are not sent yet, and ignores the replies to all others. */
+  public void abandonCalls() {
+    calls.clear();
+    replyHandlers.clear();
+  }
+
   /** Returns and removes the calls added since the last call of this method. */
   public List<Call> drainCalls() {
     List<Call> drained = List.copyOf(calls);
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -171,6 +171,14 @@
     limits.change(List.of(changed));
   }
 
+  /**
+   * Changes the number of members in the settings with which controllers start from now on. Further
+   * controllers can then be started.
+   */
+  public void useMembers(int count) {
+    controllers.useMembers(count);
+  }
+
   /** Suspends a controller, or resumes it. */
   public void pause(int node, boolean paused) {
     controllers.pause(node, paused);
--- a/src/test/java/gladeknot/standin/SimulatedControllers.java
+++ b/src/test/java/gladeknot/standin/SimulatedControllers.java
@@ -48,6 +48,7 @@
   private final Optional<BehaviourFingerprint> fingerprint;
   private final Map<Integer, Features> ownFeatures = new HashMap<>();
   private final List<Node> nodes = new ArrayList<>();
+  private int members;
   private long peerBytes;
 
   SimulatedControllers(
@@ -67,11 +68,20 @@
     this.fingerprint = fingerprint;
   }
 
-  /** Starts the first incarnations of all controllers. */
-  void startAll(int count) {
-    for (int i = 0; i < count; i++) {
+  /**
+   * Changes the number of members in the settings with which controllers start from now on. A
+   * controller beyond it must not be started.
+   */
+  void useMembers(int count) {
+    members = count;
+    while (nodes.size() < count) {
       nodes.add(new Node());
     }
+  }
+
+  /** Starts the first incarnations of all controllers. */
+  void startAll(int count) {
+    useMembers(count);
     for (int i = 0; i < count; i++) {
       start(i);
     }
@@ -82,7 +92,7 @@
     Node node = nodes.get(index);
     node.controller =
         new Controller(
-            ClusterSettings.of(index, nodes.size(), scale),
+            ClusterSettings.of(index, members, scale),
             ownFeatures.getOrDefault(index, features),
             Policy.of(""),
             random.split());
