--- a/src/test/java/gladeknot/standin/RestartMeasurement.java
+++ b/src/test/java/gladeknot/standin/RestartMeasurement.java
@@ -20,7 +20,8 @@
 /**
  * Measures how a crash of all controllers depends on the number of finished jobs that are stored:
  * {@code java -cp target/gladeknot.jar:target/test-classes gladeknot.standin.RestartMeasurement
- * FINISHED_JOBS...}.
+ * [--archived] FINISHED_JOBS...}. The records lie in the archive, or where earlier versions have
+ * left them.
  *
  * <p>For each number it starts five controllers by the command of the deploy file, at the limits of
  * the deployment with the fewest requests per second, kills all of them and starts them again after
@@ -29,6 +30,7 @@
  * memory of a controller.
  */
 public final class RestartMeasurement {
+  private static final String ARCHIVED = "--archived";
   private static final int CONTROLLERS = 5;
   private static final double STATE_RPS = 100;
   private static final double WRITE_RPS = 15;
@@ -48,18 +50,22 @@
       new LoopbackServices(LoopbackServices.Links.DIRECT, Optional.empty(), SCALE);
   private final List<Process> processes = new ArrayList<>();
   private final int finishedJobs;
+  private final String keyPrefix;
   private Path dir;
 
-  private RestartMeasurement(int finishedJobs) {
+  private RestartMeasurement(int finishedJobs, String keyPrefix) {
     this.finishedJobs = finishedJobs;
+    this.keyPrefix = keyPrefix;
   }
 
   /** Measures each of the given numbers of finished jobs and prints a line for each. */
   public static void main(String[] args) throws Exception {
     System.out.println(
         "finished  first start  first answer  all healthy  state calls  refused  memory");
-    for (String finishedJobs : args) {
-      new RestartMeasurement(Integer.parseInt(finishedJobs)).measure();
+    List<String> numbers = new ArrayList<>(List.of(args));
+    String keyPrefix = numbers.remove(ARCHIVED) ? "h/job/" : "g/job/";
+    for (String finishedJobs : numbers) {
+      new RestartMeasurement(Integer.parseInt(finishedJobs), keyPrefix).measure();
     }
     System.exit(0);
   }
@@ -70,7 +76,7 @@
     services.enforceStateLimits();
     for (int i = 0; i < finishedJobs; i++) {
       services.presetState(
-          "g/job/" + id(i), JobRecordCodec.encodeDone(1 + i % 40, 1_764_600_000_000_000L + i));
+          keyPrefix + id(i), JobRecordCodec.encodeDone(1 + i % 40, 1_764_600_000_000_000L + i));
     }
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
     long startMicros = LoopbackServices.now();
