Look a job up at one revision, and not after the lookup's deadline

Cause: read g/job/ID and then h/job/ID; a job that another controller accepted between the first read and the answer got 404, longest if the controller stood still or was refused meanwhile. And polls of jobs that the registry doesn't know were looked up before the authority was asked.

Change: a transaction without writes finds out at one revision whether either key exists; only an existing key is read, and a record that moved meanwhile is looked for again. Polls are refused with the authority's cause first, as before.

--- a/src/main/java/gladeknot/jobs/JobLookup.java
+++ b/src/main/java/gladeknot/jobs/JobLookup.java
@@ -2,6 +2,7 @@
 
 import gladeknot.state.KeyRead;
 import gladeknot.state.StateStore;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -32,24 +33,10 @@
     this.jobs = jobs;
   }
 
-  /**
-   * Looks a job up; the registry then knows a job that is finished. The archive is read last, since
-   * a record may be moved there between the two reads.
-   */
+  /** Looks a job up; the registry then knows a job that is finished. */
   void lookUp(String id, Consumer<Result> callback) {
-    stateStore.read(
-        Job.key(id),
-        read -> {
-          if (read instanceof KeyRead.Absent) {
-            lookUpArchive(id, callback);
-          } else {
-            callback.accept(result(id, read));
-          }
-        });
-  }
-
-  private void lookUpArchive(String id, Consumer<Result> callback) {
-    stateStore.read(Job.archiveKey(id), read -> callback.accept(result(id, read)));
+    stateStore.readAny(
+        List.of(Job.key(id), Job.archiveKey(id)), read -> callback.accept(result(id, read)));
   }
 
   private Result result(String id, KeyRead read) {
--- a/src/main/java/gladeknot/jobs/JobRequestHandler.java
+++ b/src/main/java/gladeknot/jobs/JobRequestHandler.java
@@ -144,13 +144,13 @@
 
   /** Answers with the state of a job. */
   public void poll(long request, String id) {
-    if (answerIfFinished(request, id) || refuseUntilLoaded(request)) {
+    if (answerIfFinished(request, id) || refuseWhileStale(request)) {
       return;
     }
-    if (jobs.unfinished(id) == null) {
-      lookUp(request, id, () -> poll(request, id), () -> answers.noSuchJob(request));
-    } else if (!refuseWhileStale(request)) {
+    if (jobs.unfinished(id) != null) {
       afterReadBarrier(request, () -> answerState(request, id));
+    } else {
+      lookUp(request, id, () -> poll(request, id), () -> answers.noSuchJob(request));
     }
   }
 
@@ -202,24 +202,13 @@
    * request was refused.
    */
   private boolean refuseWhileStale(long request) {
-    if (refuseUntilLoaded(request)) {
-      return true;
-    }
-    String reason = cluster.refusal();
+    String reason = stateStore.loaded() ? cluster.refusal() : "the state is not read yet";
     if (reason != null) {
       answers.retryLater(request, reason);
     }
     return reason != null;
   }
 
-  /** Refuses a request until the cache is loaded. Returns whether the request was refused. */
-  private boolean refuseUntilLoaded(long request) {
-    if (!stateStore.loaded()) {
-      answers.retryLater(request, "the state is not read yet");
-    }
-    return !stateStore.loaded();
-  }
-
   private void afterReadBarrier(long request, Runnable whenFresh) {
     stateStore.readBarrier(whenFresh, () -> stateServiceUnreachable(request));
   }
@@ -238,7 +227,8 @@
             stateStore.whenRevisionReached(
                 unfinished.revision(), whenKnown, () -> stateServiceUnreachable(request));
           } else if (result instanceof JobLookup.Result.Unknown) {
-            whenUnknown.run();
+            // The job may have been accepted since it was looked up.
+            (jobs.isKnown(id) ? whenKnown : whenUnknown).run();
           } else {
             stateServiceUnreachable(request);
           }
--- a/src/main/java/gladeknot/state/KeyRead.java
+++ b/src/main/java/gladeknot/state/KeyRead.java
@@ -1,11 +1,11 @@
 package gladeknot.state;
 
-/** Result of the read of one key from the state service. */
+/** Result of the read of the one key that exists among some keys of the state service. */
 public sealed interface KeyRead {
-  /** The key exists. */
+  /** One key exists. */
   record Found(Entry entry) implements KeyRead {}
 
-  /** The key does not exist. */
+  /** None of the keys exists. */
   record Absent() implements KeyRead {}
 
   /** The state service did not answer in time or could not serve the read. */
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -147,13 +147,14 @@
   }
 
   /**
-   * Reads a key from the state service, whether the cache keeps it or not.
+   * Reads the one key that exists among some keys, whether the cache keeps it or not.
    *
-   * @param callback receives the key's state at some time after this call, or {@link
-   *     KeyRead.Failed} if the read takes longer than {@link KeyReader#TIMEOUT_MICROS}
+   * @param callback receives the key's state at some time after this call; or that none of the keys
+   *     existed at such a time; or {@link KeyRead.Failed} if this takes longer than {@link
+   *     KeyReader#TIMEOUT_MICROS}
    */
-  public void read(String key, Consumer<KeyRead> callback) {
-    keyReader.read(key, callback);
+  public void readAny(List<String> keys, Consumer<KeyRead> callback) {
+    keyReader.readAny(keys, callback);
   }
 
   private void readForBarriers() {
--- a/src/test/java/gladeknot/state/RefusedRequestsTest.java
+++ b/src/test/java/gladeknot/state/RefusedRequestsTest.java
@@ -134,6 +134,39 @@
     assertEquals(List.of("failed"), results);
   }
 
+  @Test
+  void refusedLookupIsRepeatedAndFollowsAMovedKey() {
+    load();
+    store.readAny(List.of("g/x", "h/x"), read -> results.add(read.getClass().getSimpleName()));
+    answer(awaitCall("/commit"), 429, Json.of());
+    answer(awaitCall("/commit"), 409, Json.of("failed", List.of("g/x"), "epoch", 10));
+    answer(awaitCall("/kv/g/x"), 404, Json.of("epoch", 11));
+    answer(awaitCall("/commit"), 409, Json.of("failed", List.of("h/x"), "epoch", 11));
+    assertEquals(List.of(), results);
+    answer(awaitCall("/kv/h/x"), 200, Json.of("path", "h/x", "data", Json.of(), "stamp", 11));
+    assertEquals(List.of("Found"), results);
+  }
+
+  @Test
+  void lookupFindsThatNoKeyExists() {
+    load();
+    store.readAny(List.of("g/x", "h/x"), read -> results.add(read.getClass().getSimpleName()));
+    answer(awaitCall("/commit"), 200, Json.of("epoch", 10));
+    assertEquals(List.of("Absent"), results);
+  }
+
+  /** Guards against a 404 for a job that was accepted while the controller stood still. */
+  @Test
+  void lookupAnsweredAfterItsDeadlineFails() {
+    load();
+    store.readAny(List.of("g/x"), read -> results.add(read.getClass().getSimpleName()));
+    Outbox.Call call = awaitCall("/commit");
+    now += 20 * MICROS_PER_SECOND;
+    store.tick(now);
+    answer(call, 200, Json.of("epoch", 10));
+    assertEquals(List.of("Failed"), results);
+  }
+
   private void load() {
     answer(awaitCall("/kv?"), 200, page(10, false, "g/a"));
     assertTrue(store.loaded());
@@ -152,9 +185,11 @@
   }
 
   private List<Outbox.Call> step() {
+    List<Outbox.Call> calls = new ArrayList<>(outbox.drainCalls());
     now += STEP_MICROS;
     store.tick(now);
-    return new ArrayList<>(outbox.drainCalls());
+    calls.addAll(outbox.drainCalls());
+    return calls;
   }
 
   private void answer(Outbox.Call call, int status, Map<String, Object> body) {
