Count failures of jobs against machines, and try cordoned machines again

Cause: four failures in a row, of whatever job, took a machine out of use until a task completed there, which none could; with a replica on it ScaleIn doesn't release it.

Change: WorkerFailures counts distinct jobs; three of them cordon a machine. JobFailures drops the failures of a job that fails on two machines without a completion between. A cordoned machine gets one task at a time, after a quarantine of 15 s that doubles with each failure up to 4 min, and is free once a task completes. Idle cordoned machines are released, as before.

--- a/src/main/java/gladeknot/fleet/ForecastBuilder.java
+++ b/src/main/java/gladeknot/fleet/ForecastBuilder.java
@@ -90,7 +90,7 @@
   }
 
   private boolean isUsable(Worker worker) {
-    return worker.consecutiveFailures() < WorkerHealth.MAX_CONSECUTIVE_FAILURES
+    return !worker.isCordoned()
         && !worker.unreachable()
         && !WorkerHealth.timedOut(worker, clock.nowMicros());
   }
--- a/src/main/java/gladeknot/fleet/ScaleIn.java
+++ b/src/main/java/gladeknot/fleet/ScaleIn.java
@@ -126,7 +126,7 @@
     if (isLost(worker)) {
       return Optional.of(Reason.HEARTBEAT_TIMEOUT);
     }
-    if (worker.consecutiveFailures() >= WorkerHealth.MAX_CONSECUTIVE_FAILURES && !busy) {
+    if (worker.isCordoned() && !busy) {
       return Optional.of(Reason.TASK_FAILURES);
     }
     if (worker.confirmedUnreachable() && !busy) {
--- a/src/main/java/gladeknot/fleet/WorkerHealth.java
+++ b/src/main/java/gladeknot/fleet/WorkerHealth.java
@@ -5,9 +5,6 @@
 
 /** Decides when a worker is no longer counted on and when it is considered lost. */
 final class WorkerHealth {
-  /** Number of consecutive failures after which a worker gets no new tasks and is released. */
-  static final int MAX_CONSECUTIVE_FAILURES = 4;
-
   /** Age of the last heartbeat beyond which a worker is not counted on, in microseconds. */
   static final long HEARTBEAT_TIMEOUT_MICROS = 8_000_000;
 
--- a/src/main/java/gladeknot/lifecycle/AttemptTracker.java
+++ b/src/main/java/gladeknot/lifecycle/AttemptTracker.java
@@ -40,14 +40,7 @@
   private static final int MAX_SLICE_DOUBLINGS = 7;
   private static final long MAX_SLICE_BACKOFF_MICROS = 60_000_000;
 
-  /**
-   * Base of a worker's quarantine after a failure, in microseconds. It doubles with each failure
-   * that {@link Worker#countFailure} counts, including the first.
-   */
-  private static final long WORKER_QUARANTINE_MICROS = 1_000_000;
-
-  private static final long MAX_WORKER_QUARANTINE_MICROS = 30_000_000;
-
+  private final JobFailures jobFailures = new JobFailures();
   private final Membership membership;
   private final JobRegistry jobs;
   private final TransactionCommitter committer;
@@ -139,6 +132,11 @@
     };
   }
 
+  /** Handles a job that is finished. */
+  void onJobFinished(String job) {
+    jobFailures.onFinished(job);
+  }
+
   /** Handles an attempt that a heartbeat lists as exited. */
   void onEnded(Worker worker, Attempt attempt, Heartbeat.TaskStatus status) {
     LOG.info(
@@ -169,17 +167,14 @@
       estimates.recordRun(job.spec(), nowMicros - attempt.runningSinceMicros());
     }
     slice.resetFailures();
-    worker.resetFailures();
+    jobFailures.onSucceeded(slice.job(), worker);
   }
 
   private void onFailed(Worker worker, Slice slice) {
     int doublings = Math.min(MAX_SLICE_DOUBLINGS, slice.countFailure());
     slice.backOffUntil(
         nowMicros + Math.min(MAX_SLICE_BACKOFF_MICROS, SLICE_BACKOFF_MICROS << doublings));
-    int workerFailures = worker.countFailure(slice.job());
-    worker.quarantineUntil(
-        nowMicros
-            + Math.min(MAX_WORKER_QUARANTINE_MICROS, WORKER_QUARANTINE_MICROS << workerFailures));
+    jobFailures.onFailed(slice.job(), worker, nowMicros);
   }
 
   /** Handles an attempt that is provably no longer on its worker and whose end was not reported. */
--- a/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
+++ b/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
@@ -165,6 +165,7 @@
     scheduling.request();
     if (now == null || !now.active()) {
       completion.onFinished(job);
+      attempts.onJobFinished(job);
       finishedJobs.stop(job);
     }
   }
--- a/src/main/java/gladeknot/scheduling/CandidateMachine.java
+++ b/src/main/java/gladeknot/scheduling/CandidateMachine.java
@@ -12,6 +12,9 @@
  * tasks still use. CPUs, GPUs and memory are in thousandths of a CPU, a GPU and a GB.
  */
 final class CandidateMachine {
+  /** More tasks than can start on a machine in one cycle. */
+  private static final int MAX_STARTS = Integer.MAX_VALUE / 2;
+
   private final Worker worker;
   private final MachineType type;
   private long freeCpus;
@@ -21,6 +24,9 @@
   private long terminatingGpus;
   private long terminatingMemory;
 
+  /** Number of tasks that may still start on the machine. */
+  private int remainingStarts = MAX_STARTS;
+
   private CandidateMachine(Worker worker, MachineType type) {
     this.worker = worker;
     this.type = type;
@@ -50,6 +56,7 @@
       // nothing starts on the machine until it is gone.
       machine.freeCpus = 0;
     }
+    machine.remainingStarts = worker.isCordoned() ? 1 : MAX_STARTS;
     return machine;
   }
 
@@ -87,7 +94,9 @@
     terminatingMemory += slice.memory();
   }
 
+  /** Allocates the resources of one task. */
   void allocate(long cpus, long gpus, long memory) {
+    remainingStarts--;
     freeCpus -= cpus;
     freeGpus -= gpus;
     freeMemory -= memory;
@@ -100,7 +109,10 @@
 
   /** Releases the resources of one task of a job. */
   void release(JobSpec spec) {
-    allocate(-spec.cpus(), -spec.gpus(), -spec.memory());
+    remainingStarts++;
+    freeCpus += spec.cpus();
+    freeGpus += spec.gpus();
+    freeMemory += spec.memory();
   }
 
   /** Returns the number of tasks of a job that fit into the free resources. */
@@ -112,7 +124,7 @@
     if (spec.gpus() > 0) {
       count = Math.min(count, freeGpus / spec.gpus());
     }
-    return (int) count;
+    return (int) Math.min(count, Math.max(0, remainingStarts));
   }
 
   /** Returns whether a task of a job fits once the terminating tasks have exited. */
--- a/src/main/java/gladeknot/scheduling/Scheduler.java
+++ b/src/main/java/gladeknot/scheduling/Scheduler.java
@@ -65,9 +65,6 @@
   /** Estimated run time, in microseconds, at or above which the end of a task counts as unknown. */
   private static final long UNKNOWN_RUN_MICROS = Long.MAX_VALUE / 4;
 
-  /** Number of consecutive failed attempts at which a machine stops getting new tasks. */
-  private static final int MAX_CONSECUTIVE_FAILURES = 4;
-
   /** Maximum age of a schedulable worker's heartbeat, in intervals: a worker may miss one. */
   private static final int MAX_HEARTBEAT_AGE_INTERVALS = 2;
 
@@ -233,7 +230,7 @@
         && !worker.releasing()
         && worker.reclaimAtMicros() == 0
         && nowMicros >= worker.quarantinedUntilMicros()
-        && worker.consecutiveFailures() < MAX_CONSECUTIVE_FAILURES
+        && worker.mayTryTask()
         && !worker.unreachable()
         && hasRecentHeartbeat(worker)
         && types.get(worker.type()) != null;
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -259,22 +259,39 @@
 
   // Failures.
 
-  /**
-   * Returns the number of consecutive task failures on the machine. A failure counts twice if the
-   * previous failure was of another job.
-   */
-  public int consecutiveFailures() {
-    return failures.consecutiveFailures();
+  /** Counts a failure of a job's task on the machine and quarantines the machine. */
+  public void recordFailure(String job, long nowMicros) {
+    failures.recordFailure(job, nowMicros);
   }
 
-  /** Resets the number of consecutive failures, after a task has completed on the machine. */
+  /** Forgets the failures of a job that is itself at fault. */
+  public void forgetFailuresOf(String job) {
+    failures.forgetFailuresOf(job);
+  }
+
+  /** Forgets all failures, after a task has completed on the machine. */
   public void resetFailures() {
-    failures.resetFailures();
+    failures.reset();
+  }
+
+  /**
+   * Returns whether tasks of so many jobs have failed on the machine that it is taken to be at
+   * fault.
+   */
+  public boolean isCordoned() {
+    return failures.isCordoned();
   }
 
-  /** Counts a task failure on the machine and returns {@link #consecutiveFailures}. */
-  public int countFailure(String job) {
-    return failures.countFailure(job);
+  /**
+   * Returns whether a task may start on the machine as far as failures are concerned. A cordoned
+   * machine is tried by one task at a time.
+   */
+  public boolean mayTryTask() {
+    return !isCordoned()
+        || attempts().values().stream()
+            .noneMatch(
+                attempt ->
+                    !attempt.closed() && attempt.decidedMicros() > failures.lastFailureMicros());
   }
 
   /** Returns the time before which no task is started on the machine. */
--- a/src/test/java/gladeknot/standin/FakeWorker.java
+++ b/src/test/java/gladeknot/standin/FakeWorker.java
@@ -84,6 +84,7 @@
   private long reclaimAtMicros;
 
   private TaskListener taskListener = NO_LISTENER;
+  private TaskFailures failures = new TaskFailures();
 
   /** Names of all tasks started so far, in the order of their starts. */
   private final List<String> startedTasks = new ArrayList<>();
@@ -108,6 +109,11 @@
     taskListener = listener;
   }
 
+  /** Sets which tasks fail; initially none do. */
+  void useFailures(TaskFailures taskFailures) {
+    failures = taskFailures;
+  }
+
   /** Returns the machine's name. */
   public String host() {
     return machine.id();
@@ -148,7 +154,13 @@
       leaseRenewedMicros = now;
     }
     for (Task task : tasks.values()) {
-      if (task.phase.equals(RUNNING) && now >= task.endsMicros) {
+      if (!task.phase.equals(RUNNING) || now < task.endsMicros) {
+        continue;
+      }
+      if (failures.fails(host(), task.name)) {
+        task.end("error");
+        notifyEnded(task, false, task.endsMicros);
+      } else {
         task.end("done");
         finished.add(task.name);
         notifyEnded(task, true, task.endsMicros);
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
 /**
@@ -207,6 +208,11 @@
     durations.setDefault(micros);
   }
 
+  /** Makes tasks fail instead of completing, by a condition on machine and task names. */
+  public void failTasksIf(BiPredicate<String, String> condition) {
+    machines.failures().failIf(condition);
+  }
+
   /** Sends a request to a controller; a controller that is down does not answer. */
   public void request(
       int node, String method, String path, Object body, Consumer<Outbox.Answer> handler) {
--- a/src/test/java/gladeknot/standin/SimulatedMachines.java
+++ b/src/test/java/gladeknot/standin/SimulatedMachines.java
@@ -19,6 +19,7 @@
   private final SplittableRandom random;
   private final FakeCloud cloud;
   private final TaskDurations durations;
+  private final TaskFailures failures = new TaskFailures();
   private final int controllers;
   private final Map<String, SimulatedMachine> machines = new TreeMap<>();
   private final List<FakeCloud.Machine> booting = new ArrayList<>();
@@ -113,7 +114,15 @@
   }
 
   private FakeWorker newWorker(FakeCloud.Machine rented) {
-    return new FakeWorker(
-        rented, rented.id() + ":9", ClusterSettings.LEASE_MICROS, durations::of, clock.now());
+    FakeWorker worker =
+        new FakeWorker(
+            rented, rented.id() + ":9", ClusterSettings.LEASE_MICROS, durations::of, clock.now());
+    worker.useFailures(failures);
+    return worker;
+  }
+
+  /** Returns which tasks fail. */
+  TaskFailures failures() {
+    return failures;
   }
 }
