Simulated outage refuses transactions that write nothing

The simulated state service carries transactions out during an outage, as they may be under way. A transaction without writes is a read; in an outage PROTOCOL answers it with 503, so the fake does now too.

--- a/src/test/java/gladeknot/standin/SimulatedNetwork.java
+++ b/src/test/java/gladeknot/standin/SimulatedNetwork.java
@@ -229,10 +229,10 @@
 
   /**
    * Serves a call to the state service. Transactions that are under way are carried out even during
-   * an outage.
+   * an outage, unless they write nothing: those are reads.
    */
   private Optional<ServiceResponse> serveByState(int node, Outbox.Call call) throws IOException {
-    if (isCommit(call)) {
+    if (isCommit(call) && !(faults.hasStateOutage() && writesNothing(call.body()))) {
       byte[] transaction = checkedTransaction(node, call.body());
       return Optional.of(state.serve(call.method(), call.path(), transaction));
     }
@@ -241,6 +241,10 @@
         : Optional.of(state.serve(call.method(), call.path(), call.body()));
   }
 
+  private static boolean writesNothing(byte[] transaction) throws IOException {
+    return Json.objects(Json.object(transaction), "writes").isEmpty();
+  }
+
   private Optional<ServiceResponse> serveByMachine(int node, Outbox.Call call) throws IOException {
     Optional<SimulatedMachine> machine = machines.byHost(call.address().split(":")[0]);
     if (machine.isEmpty()
