--- a/src/test/java/gladeknot/standin/LoopbackServices.java
+++ b/src/test/java/gladeknot/standin/LoopbackServices.java
@@ -366,63 +366,12 @@
       peers.add("127.0.0.1:" + freePort());
     }
     Files.createDirectories(dir);
+    LoopbackSettings settings = new LoopbackSettings(links, scale, nodes, peers, cloudAddress);
     for (int i = 0; i < count; i++) {
-      String self = "node-" + i;
-      StringBuilder text = new StringBuilder();
-      text.append("node_name = \"" + self + "\"\ndomain = \"a\"\n");
-      text.append("client_listen = \"" + nodes.get(i) + "\"\n");
-      text.append("back = \"" + peers.get(i) + "\"\n");
-      for (int j = 0; j < count; j++) {
-        if (j != i) {
-          String address = links.address(self + ">node-" + j, peers.get(j));
-          text.append("[[members]]\nnode_name = \"node-" + j + "\"\ndomain = \"a\"\n");
-          text.append("addr = \"" + address + "\"\n");
-        }
-      }
-      text.append("[external]\n");
-      text.append("cloud = \"" + links.address(self + ">cloud", cloudAddress) + "\"\n");
       int caller = i;
       String state = listen((method, uri, body) -> serveState(caller, method, uri, body));
-      text.append("state = \"" + links.address(self + ">state", state) + "\"\n");
-      text.append(CLUSTER_BEGIN)
-          .append(scale.teamSettings())
-          .append(scale.stateSettings())
-          .append(CLUSTER_END);
-      Files.writeString(dir.resolve(self + ".toml"), text);
+      settings.write(dir, i, state);
     }
     threads.execute(this::runWorkers);
   }
-
-  private static final String CLUSTER_BEGIN =
-      """
-      [cluster]
-      initial_size = 3
-      zones = ["a", "b"]
-      clock_error_ms = 100.0
-      """;
-
-  private static final String CLUSTER_END =
-      """
-      [[cluster.objectives]]
-      kind = "wait"
-      class = "web"
-      within_s = 5.0
-      share = 0.9
-      [[cluster.objectives]]
-      kind = "deadline"
-      class = "batch"
-      share = 0.9
-      times = 1.0
-      [cluster.workers]
-      report_s = 0.5
-      lease_s = 5.0
-      gang_wait_s = 30.0
-      gang_peer_s = 6.0
-      cancel_s = 20.0
-      [cluster.cloud]
-      rps = 6.0
-      list_lag_s = 5.0
-      [cluster.machine_limits]
-      max_connections = 500
-      """;
 }
--- a/src/test/java/gladeknot/standin/RandomEligibility.java
+++ b/src/test/java/gladeknot/standin/RandomEligibility.java
@@ -13,6 +13,7 @@
 public final class RandomEligibility {
   private static final List<String> SHAPES = List.of("array", "ensemble", "service");
   private static final List<String> ZONES = List.of("a", "b");
+  private static final long THOUSANDTHS = 1000;
 
   private final SplittableRandom random;
 
@@ -25,9 +26,9 @@
     List<MachineType> types = new ArrayList<>();
     int count = 1 + random.nextInt(4);
     for (int i = 0; i < count; i++) {
-      long cpus = 1000 * (1 + random.nextInt(8));
-      long gpus = 1000 * random.nextInt(3);
-      long memory = 1000 * (1 + random.nextInt(16));
+      long cpus = THOUSANDTHS * (1 + random.nextInt(8));
+      long gpus = THOUSANDTHS * random.nextInt(3);
+      long memory = THOUSANDTHS * (1 + random.nextInt(16));
       List<String> zones = random.nextBoolean() ? ZONES : ZONES.subList(0, 1);
       types.add(new MachineType("t" + i, cpus, gpus, memory, 40, 0.5, 0.2, 0.1, 1, zones));
     }
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -10,8 +10,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
@@ -351,46 +349,17 @@
 
   /** Returns the number of tasks that are on machines. */
   public int tasksOnMachines() {
-    int count = 0;
-    for (SimulatedMachine machine : machines.all()) {
-      count += machine.liveTasks().size();
-    }
-    return count;
+    return machines.liveTaskCount();
   }
 
   /** Returns the machines that a job's tasks are on. */
   public Set<String> hosts(String job) {
-    Set<String> hosts = new TreeSet<>();
-    for (SimulatedMachine machine : machines.all()) {
-      if (tasksOf(job, machine) > 0) {
-        hosts.add(machine.host());
-      }
-    }
-    return hosts;
+    return machines.hosts(job);
   }
 
   /** Returns the number of a job's tasks in each zone; zones without any are left out. */
   public Map<String, Integer> zones(String job) {
-    Map<String, Integer> zones = new TreeMap<>();
-    for (SimulatedMachine machine : machines.all()) {
-      int tasks = tasksOf(job, machine);
-      if (tasks > 0) {
-        zones.merge(machine.zone(), tasks, Integer::sum);
-      }
-    }
-    return zones;
-  }
-
-  /**
-   * Returns the number of a job's tasks on a machine. A dead machine counts with the tasks that it
-   * had.
-   */
-  private static int tasksOf(String job, SimulatedMachine machine) {
-    int count = 0;
-    for (FakeWorker.Task task : machine.worker().live()) {
-      count += task.name().startsWith(job + "/") ? 1 : 0;
-    }
-    return count;
+    return machines.zones(job);
   }
 
   /** Returns the index of a task of a job that is not on the given machine. */
--- a/src/test/java/gladeknot/standin/SimulatedMachines.java
+++ b/src/test/java/gladeknot/standin/SimulatedMachines.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * The machines of a simulation: boots those that the cloud rents out, and removes those that are
@@ -103,6 +104,46 @@
     }
   }
 
+  /** Returns the number of tasks that are on machines. */
+  int liveTaskCount() {
+    return machines.values().stream().mapToInt(machine -> machine.liveTasks().size()).sum();
+  }
+
+  /** Returns the machines that a job's tasks are on. */
+  Set<String> hosts(String job) {
+    Set<String> hosts = new TreeSet<>();
+    for (SimulatedMachine machine : machines.values()) {
+      if (tasksOf(job, machine) > 0) {
+        hosts.add(machine.host());
+      }
+    }
+    return hosts;
+  }
+
+  /** Returns the number of a job's tasks in each zone; zones without any are left out. */
+  Map<String, Integer> zones(String job) {
+    Map<String, Integer> zones = new TreeMap<>();
+    for (SimulatedMachine machine : machines.values()) {
+      int tasks = tasksOf(job, machine);
+      if (tasks > 0) {
+        zones.merge(machine.zone(), tasks, Integer::sum);
+      }
+    }
+    return zones;
+  }
+
+  /**
+   * Returns the number of a job's tasks on a machine. A dead machine counts with the tasks that it
+   * had.
+   */
+  private static int tasksOf(String job, SimulatedMachine machine) {
+    int count = 0;
+    for (FakeWorker.Task task : machine.worker().live()) {
+      count += task.name().startsWith(job + "/") ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Reboots a machine: it loses everything on it and is back at once, with its counters reset. */
   void reboot(SimulatedMachine machine) {
     FakeCloud.Machine rented =
