Apply a job together with the final records that it depends on

What was seen: by reading, then FinishedJobHistoryTest: since a job whose dependencies finished before a controller's start, or long ago, was held there until they were looked up one by one; other controllers ran it meanwhile.

Cause: final records came after the job that refers to them.

Change: ReferenceReader reads what new records refer to, and the listener doesn't know, before a list or a watch's events are applied, and reports both together; a failed read is repeated. A list keeps its 4,096 newest final records until it is applied, and JobArchiver leaves records alone that an unfinished job names, so that a start seldom reads any by key. DependencyResolver is gone. ShardCount stores no number while another number of shards exists.

--- a/src/main/java/gladeknot/app/Controller.java
+++ b/src/main/java/gladeknot/app/Controller.java
@@ -143,7 +143,6 @@
     components.membership.tick(nowMicros);
     components.heartbeats.tick(nowMicros);
     components.jobRequests.tick(nowMicros, wallMicros);
-    components.dependencies.tick(nowMicros);
     components.lifecycle.tick(nowMicros, wallMicros);
     components.quota.tick(nowMicros);
     components.scheduler.tick(nowMicros, wallMicros);
--- a/src/main/java/gladeknot/app/ControllerComponents.java
+++ b/src/main/java/gladeknot/app/ControllerComponents.java
@@ -7,10 +7,8 @@
 import gladeknot.connectivity.HeartbeatObserver;
 import gladeknot.fleet.Fleet;
 import gladeknot.fleet.InstanceCatalog;
-import gladeknot.jobs.DependencyResolver;
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobArchiver;
-import gladeknot.jobs.JobRecordCodec;
 import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobRequestHandler;
 import gladeknot.lifecycle.TaskLifecycle;
@@ -57,7 +55,6 @@
   final Fleet fleet;
   final HomeShardSelector homeShards;
   final JobRequestHandler jobRequests;
-  final DependencyResolver dependencies;
   final JobArchiver archiver;
   final HeartbeatHandler heartbeats;
 
@@ -75,11 +72,7 @@
         features.partialCuts().map(feature -> new ConnectivityMonitor(settings, feature, outbox));
     stateStore =
         new StateStore(
-            settings,
-            outbox,
-            random,
-            (key, data) -> !JobRecordCodec.isFinalRecord(key, data),
-            new StateChangeDispatcher(this));
+            settings, outbox, random, new JobCacheFilter(this), new StateChangeDispatcher(this));
     membership = newMembership(settings, shardCount, policy);
     jobs = new JobRegistry(this::onJobChange);
     slices = newSlices();
@@ -90,8 +83,7 @@
     fleet = newFleet(settings, policy);
     homeShards = new HomeShardSelector(settings, membership, jobs, workers, catalog::type);
     jobRequests = newJobRequests(settings, tracer);
-    dependencies = new DependencyResolver(stateStore, jobs);
-    archiver = new JobArchiver(stateStore, membership);
+    archiver = new JobArchiver(stateStore, membership, jobs);
     heartbeats = newHeartbeats(settings);
     committer.setListener(this::onCommit);
     committer.useAdmission(quota.admission());
--- a/src/main/java/gladeknot/jobs/DependencyGraph.java
+++ b/src/main/java/gladeknot/jobs/DependencyGraph.java
@@ -51,11 +51,6 @@
     return heldJob == null ? null : heldJob.job;
   }
 
-  /** Returns the dependencies that hold some job. */
-  Collection<String> allOpenDependencies() {
-    return dependents.keySet();
-  }
-
   /** Returns the dependencies of a job that are not completed yet; empty if the job isn't held. */
   Collection<String> openDependencies(String id) {
     HeldJob heldJob = heldJobs.get(id);
--- a/src/main/java/gladeknot/jobs/Job.java
+++ b/src/main/java/gladeknot/jobs/Job.java
@@ -1,6 +1,7 @@
 package gladeknot.jobs;
 
 import gladeknot.state.StateStore;
+import java.util.List;
 
 /**
  * An accepted job according to its record in the state service. Times are microseconds of the time
@@ -55,6 +56,13 @@
     return KEY_PREFIX + id;
   }
 
+  /**
+   * Returns the keys under which a job's record may be stored, whether the job is finished or not.
+   */
+  public static List<String> possibleKeys(String id) {
+    return List.of(key(id), archiveKey(id));
+  }
+
   /** Returns whether the job is neither completed nor cancelled. */
   public boolean active() {
     return phase == Phase.ACTIVE;
--- a/src/main/java/gladeknot/jobs/JobArchiver.java
+++ b/src/main/java/gladeknot/jobs/JobArchiver.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,7 +25,8 @@
  *
  * <p>The owner of the first shard sweeps over the job records again and again. Each record is moved
  * by one transaction, on condition that it has not changed, so that a crash at any point loses
- * nothing and two controllers may sweep at once. Reads and writes come after all others.
+ * nothing and two controllers may sweep at once. Reads and writes come after all others. A record
+ * on which an unfinished job depends stays, so that a start finds it in its list.
  */
 public final class JobArchiver {
   private static final Logger LOG = LoggerFactory.getLogger(JobArchiver.class);
@@ -53,6 +55,7 @@
 
   private final StateStore stateStore;
   private final Membership membership;
+  private final JobRegistry jobs;
 
   /** Final records of the page that was read last, which have not been moved. */
   private final ArrayDeque<ListedKey> pending = new ArrayDeque<>();
@@ -66,9 +69,10 @@
   private long nowMicros;
 
   /** Creates an archiver, which does nothing before the storage format allows it. */
-  public JobArchiver(StateStore stateStore, Membership membership) {
+  public JobArchiver(StateStore stateStore, Membership membership, JobRegistry jobs) {
     this.stateStore = stateStore;
     this.membership = membership;
+    this.jobs = jobs;
   }
 
   /** Moves the next records, or reads the next page, when due. */
@@ -109,15 +113,21 @@
       return;
     }
     ListPage page = reply.get();
+    Set<String> needed = jobs.dependenciesOfUnfinished();
     for (ListedKey listed : page.keys()) {
       afterKey = listed.key();
-      if (JobRecordCodec.isFinalRecord(listed.key(), listed.entry().data())) {
+      boolean isFinal = JobRecordCodec.isFinalRecord(listed.key(), listed.entry().data());
+      if (isFinal && !needed.contains(id(listed))) {
         pending.add(listed);
       }
     }
     lastPageRead = !page.more() || page.keys().isEmpty();
   }
 
+  private static String id(ListedKey listed) {
+    return listed.key().substring(Job.KEY_PREFIX.length());
+  }
+
   private void endSweep() {
     if (moved > 0) {
       LOG.info("finished jobs archived count={}", moved);
@@ -140,10 +150,9 @@
     List<Mutation> mutations = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       ListedKey listed = pending.poll();
-      String id = listed.key().substring(Job.KEY_PREFIX.length());
       preconditions.put(listed.key(), listed.entry().modRevision());
       mutations.add(Mutation.delete(listed.key()));
-      mutations.add(Mutation.put(Job.archiveKey(id), listed.entry().data()));
+      mutations.add(Mutation.put(Job.archiveKey(id(listed)), listed.entry().data()));
     }
     requestInFlight = true;
     stateStore.commit(preconditions, mutations, outcome -> onMoved(outcome, count));
--- a/src/main/java/gladeknot/jobs/JobLookup.java
+++ b/src/main/java/gladeknot/jobs/JobLookup.java
@@ -2,7 +2,6 @@
 
 import gladeknot.state.KeyRead;
 import gladeknot.state.StateStore;
-import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -35,8 +34,7 @@
 
   /** Looks a job up; the registry then knows a job that is finished. */
   void lookUp(String id, Consumer<Result> callback) {
-    stateStore.readAny(
-        List.of(Job.key(id), Job.archiveKey(id)), read -> callback.accept(result(id, read)));
+    stateStore.readAny(Job.possibleKeys(id), read -> callback.accept(result(id, read)));
   }
 
   private Result result(String id, KeyRead read) {
--- a/src/main/java/gladeknot/jobs/JobRecordCodec.java
+++ b/src/main/java/gladeknot/jobs/JobRecordCodec.java
@@ -2,6 +2,7 @@
 
 import gladeknot.json.Json;
 import gladeknot.state.Entry;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -43,6 +44,13 @@
     return key.startsWith(Job.KEY_PREFIX) && data.containsKey(PHASE);
   }
 
+  /** Returns the ids of the jobs that the job of a record depends on; empty for other records. */
+  public static List<String> dependencies(String key, Map<String, Object> data) {
+    return key.startsWith(Job.KEY_PREFIX)
+        ? JobSpecCodec.dependencies(Json.map(data.get(SPEC)))
+        : List.of();
+  }
+
   /**
    * Decodes a job's record.
    *
--- a/src/main/java/gladeknot/jobs/JobRegistry.java
+++ b/src/main/java/gladeknot/jobs/JobRegistry.java
@@ -3,9 +3,11 @@
 import gladeknot.state.Entry;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The unfinished jobs, as shown by the watch cache, and the finished jobs that were used last.
@@ -78,7 +80,7 @@
   }
 
   /** Returns whether a job is known to be accepted; false for many finished jobs. */
-  boolean isKnown(String id) {
+  public boolean isKnown(String id) {
     return unfinished(id) != null || isFinished(id);
   }
 
@@ -92,9 +94,12 @@
     return dependencies.openDependencies(id);
   }
 
-  /** Returns the dependencies of held jobs that are not known to be accepted. */
-  List<String> unknownDependencies() {
-    return dependencies.allOpenDependencies().stream().filter(id -> !isKnown(id)).toList();
+  /** Returns the ids of all jobs that unfinished jobs name as dependencies. */
+  Set<String> dependenciesOfUnfinished() {
+    Set<String> ids = new HashSet<>();
+    active.values().forEach(job -> ids.addAll(job.spec().dependencies()));
+    held().forEach(job -> ids.addAll(job.spec().dependencies()));
+    return ids;
   }
 
   /** Returns a number that increases with every change. */
--- a/src/main/java/gladeknot/jobs/JobSpecCodec.java
+++ b/src/main/java/gladeknot/jobs/JobSpecCodec.java
@@ -122,6 +122,11 @@
     return fields;
   }
 
+  /** Returns the dependencies that a submission names; empty if it names none. */
+  static List<String> dependencies(Map<String, Object> submission) {
+    return Json.texts(submission, DEPENDENCIES);
+  }
+
   private String id() throws MalformedJobException {
     String id = text(ID);
     if (!JobSpec.isId(id)) {
--- a/src/main/java/gladeknot/membership/ShardCount.java
+++ b/src/main/java/gladeknot/membership/ShardCount.java
@@ -62,10 +62,14 @@
     return shards;
   }
 
-  /** Stores the number that this controller works with, if none is stored. */
+  /**
+   * Stores the number that this controller works with, if none is stored and no other number of
+   * shards exists.
+   */
   void storeIfAbsent(long nowMicros) {
-    boolean due = stored() == 0 && !commitInFlight && nowMicros >= nextCommitMicros;
-    if (!due || !stateStore.tryAcquireWrites(1, 0)) {
+    boolean absent = stored() == 0 && (known() == 0 || known() == count);
+    boolean due = !commitInFlight && nowMicros >= nextCommitMicros;
+    if (!absent || !due || !stateStore.tryAcquireWrites(1, 0)) {
       return;
     }
     nextCommitMicros = nowMicros + COMMIT_INTERVAL_MICROS;
--- a/src/main/java/gladeknot/state/CacheSynchronizer.java
+++ b/src/main/java/gladeknot/state/CacheSynchronizer.java
@@ -1,7 +1,11 @@
 package gladeknot.state;
 
 import gladeknot.outbox.Outbox;
+import gladeknot.state.StateServiceCodec.WatchEvent;
 import gladeknot.state.StateServiceCodec.WatchReply;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,12 +34,17 @@
 
   private final StateServiceClient client;
   private final WatchCache cache;
+  private final ReferenceReader references;
   private final ReadBarriers barriers;
   private final CacheLag lag;
   private final ChangeListener listener;
   private final KeyLister lister;
   private final RetryBackoff watchBackoff;
   private boolean listed;
+
+  /** True while a complete list waits for records that it refers to. */
+  private boolean resolvingList;
+
   private boolean watching;
   private long nextWatchMicros;
 
@@ -47,12 +56,14 @@
   CacheSynchronizer(
       StateServiceClient client,
       WatchCache cache,
+      ReferenceReader references,
       ReadBarriers barriers,
       CacheLag lag,
       ChangeListener listener,
       RandomGenerator random) {
     this.client = client;
     this.cache = cache;
+    this.references = references;
     this.barriers = barriers;
     this.lag = lag;
     this.listener = listener;
@@ -71,6 +82,10 @@
   /** Continues the list, or starts a watch, when due. */
   void tick(long currentMicros) {
     nowMicros = currentMicros;
+    references.tick(currentMicros);
+    if (resolvingList) {
+      return;
+    }
     if (!listed) {
       lister.tick(currentMicros);
     } else if (!watching
@@ -81,9 +96,20 @@
   }
 
   private void onListed(KeyLister.Listing listing) {
+    List<ListedKey> records = new ArrayList<>();
+    listing.entries().forEach((key, entry) -> records.add(new ListedKey(key, entry)));
+    resolvingList = true;
+    references.resolve(
+        records, listing.newestSkipped(), referenced -> applyList(listing, referenced));
+  }
+
+  private void applyList(KeyLister.Listing listing, List<Change> referenced) {
+    resolvingList = false;
     listed = true;
     lastPageRevision = listing.lastRevision();
-    listener.onChanges(cache.applyList(listing.entries(), listing.firstRevision()));
+    List<Change> changes = cache.applyList(listing.entries(), listing.firstRevision());
+    changes.addAll(referenced);
+    listener.onChanges(changes);
     LOG.info(
         "state loaded revision={} last_page_revision={} keys={}",
         cache.revision(),
@@ -106,17 +132,32 @@
   }
 
   private void onWatchReply(Outbox.Reply reply) {
+    if (reply.status() == StateServiceCodec.OK) {
+      WatchReply watched = StateServiceCodec.watchReply(reply);
+      references.resolve(
+          written(watched.events()), Map.of(), referenced -> applyWatched(watched, referenced));
+      return;
+    }
     watching = false;
     if (reply.status() == StateServiceCodec.COMPACTED) {
       listed = false;
-      return;
-    }
-    if (reply.status() != StateServiceCodec.OK) {
+    } else {
       watchBackoff.onFailure(nowMicros);
-      return;
     }
-    WatchReply watched = StateServiceCodec.watchReply(reply);
-    listener.onChanges(cache.applyEvents(watched.events()));
+  }
+
+  private static List<ListedKey> written(List<WatchEvent> events) {
+    return events.stream()
+        .filter(event -> event.key() != null && event.data() != null)
+        .map(event -> new ListedKey(event.key(), new Entry(event.data(), event.modRevision())))
+        .toList();
+  }
+
+  private void applyWatched(WatchReply watched, List<Change> referenced) {
+    watching = false;
+    List<Change> changes = cache.applyEvents(watched.events());
+    changes.addAll(referenced);
+    listener.onChanges(changes);
     cache.advanceTo(watched.revision().orElse(cache.revision()));
     // Every change by any controller ends a watch. Without this interval, watches alone would use
     // up the request rate that transactions need.
--- a/src/main/java/gladeknot/state/KeyLister.java
+++ b/src/main/java/gladeknot/state/KeyLister.java
@@ -1,6 +1,10 @@
 package gladeknot.state;
 
 import gladeknot.outbox.Outbox;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -23,6 +27,8 @@
   /** Number of keys of a page: the most that the state service returns. */
   private static final int PAGE_SIZE = 1000;
 
+  private static final int MAX_NEWEST_SKIPPED = 4096;
+
   private static final String FIRST_PAGE = "";
   private static final long UNKNOWN_REVISION = -1;
   private static final long MICROS_PER_MILLI = 1000;
@@ -32,8 +38,13 @@
    *
    * @param firstRevision revision of the first page; the entries hold all changes up to it
    * @param lastRevision revision of the last page; the entries may hold changes up to it
+   * @param newestSkipped the newest of the keys that were not selected
    */
-  record Listing(TreeMap<String, Entry> entries, long firstRevision, long lastRevision) {}
+  record Listing(
+      TreeMap<String, Entry> entries,
+      long firstRevision,
+      long lastRevision,
+      Map<String, Entry> newestSkipped) {}
 
   /** Decides which of the listed keys are passed on. */
   interface Selection {
@@ -45,6 +56,11 @@
   private final RetryBackoff backoff;
   private final Consumer<Listing> onComplete;
   private TreeMap<String, Entry> entries;
+
+  /** The newest keys that were not selected, the oldest of them first. */
+  private final PriorityQueue<ListedKey> newestSkipped =
+      new PriorityQueue<>(Comparator.comparingLong(listed -> listed.entry().modRevision()));
+
   private String afterKey;
   private long firstRevision;
   private boolean pageInFlight;
@@ -124,7 +140,7 @@
       if (selection.includes(item)) {
         entries.put(afterKey, item.entry());
       } else {
-        skipped++;
+        skip(item);
       }
     }
     if (page.more() && !afterKey.equals(previousKey)) {
@@ -134,8 +150,19 @@
     }
   }
 
+  private void skip(ListedKey item) {
+    skipped++;
+    newestSkipped.add(item);
+    if (newestSkipped.size() > MAX_NEWEST_SKIPPED) {
+      newestSkipped.remove();
+    }
+  }
+
   private void complete(long lastRevision) {
-    Listing listing = new Listing(entries, firstRevision, lastRevision);
+    Map<String, Entry> newest = new HashMap<>();
+    newestSkipped.forEach(item -> newest.put(item.key(), item.entry()));
+    newestSkipped.clear();
+    Listing listing = new Listing(entries, firstRevision, lastRevision, newest);
     entries = null;
     LOG.info(
         "state listed keys={} skipped={} pages={} retries={} ms={}",
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -62,7 +62,9 @@
     this.requestLimits = new RequestLimits(settings, limits);
     this.client = new StateServiceClient(settings.stateAddress(), outbox, requestLimits);
     this.keyReader = new KeyReader(client);
-    this.synchronizer = new CacheSynchronizer(client, cache, barriers, lag, listener, random);
+    ReferenceReader references = new ReferenceReader(filter, keyReader, random);
+    this.synchronizer =
+        new CacheSynchronizer(client, cache, references, barriers, lag, listener, random);
   }
 
   /** Returns the size limits of transactions and values. */
--- a/src/test/java/gladeknot/app/FinishedJobHistoryTest.java
+++ b/src/test/java/gladeknot/app/FinishedJobHistoryTest.java
@@ -117,6 +117,28 @@
     assertEquals(List.of(), cluster.violations());
   }
 
+  /** Guards against running tasks that are stopped because their job seems to be held. */
+  @ParameterizedTest
+  @ValueSource(longs = {0, ARCHIVING_MICROS})
+  void restartDoesNotStopTasksOfJobWithFinishedDependency(long archivingMicros) {
+    SimulatedCluster cluster = clusterWithHistory(archivingMicros);
+    int startsBefore = cluster.starts();
+    cluster.submit(0, TestJobs.jobAfter("req-web-after", 6, DONE));
+    cluster.run(20 * MICROS_PER_SECOND);
+    assertEquals(6, cluster.starts() - startsBefore);
+    for (int node = 0; node < CONTROLLERS; node++) {
+      cluster.kill(node);
+      cluster.run(MICROS_PER_SECOND);
+      cluster.start(node);
+      cluster.run(10 * MICROS_PER_SECOND);
+    }
+    restartAll(cluster);
+    cluster.run(20 * MICROS_PER_SECOND);
+    assertEquals(6, cluster.starts() - startsBefore);
+    assertEquals(6, cluster.tasksOnMachines());
+    assertEquals(List.of(), cluster.violations());
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {0, ARCHIVING_MICROS})
   void jobAfterCancelledJobIsCancelled(long archivingMicros) {
