--- a/src/main/java/gladeknot/app/Controller.java
+++ b/src/main/java/gladeknot/app/Controller.java
@@ -114,6 +114,7 @@
     components.scheduler.tick(nowMicros, wallMicros);
     components.fleet.tick(nowMicros, wallMicros);
     components.committer.tick(nowMicros);
+    components.archiver.tick(nowMicros);
   }
 
   /** Handles a message from another controller. */
--- a/src/main/java/gladeknot/app/ControllerComponents.java
+++ b/src/main/java/gladeknot/app/ControllerComponents.java
@@ -9,6 +9,7 @@
 import gladeknot.fleet.InstanceCatalog;
 import gladeknot.jobs.DependencyResolver;
 import gladeknot.jobs.Job;
+import gladeknot.jobs.JobArchiver;
 import gladeknot.jobs.JobRecordCodec;
 import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobRequestHandler;
@@ -57,6 +58,7 @@
   final HomeShardSelector homeShards;
   final JobRequestHandler jobRequests;
   final DependencyResolver dependencies;
+  final JobArchiver archiver;
   final HeartbeatHandler heartbeats;
 
   ControllerComponents(
@@ -85,6 +87,7 @@
     homeShards = new HomeShardSelector(settings, membership, jobs, workers, catalog::type);
     jobRequests = newJobRequests(settings, tracer);
     dependencies = new DependencyResolver(stateStore, jobs);
+    archiver = new JobArchiver(stateStore, membership);
     heartbeats = newHeartbeats(settings);
     committer.setListener(this::onCommit);
     committer.useAdmission(quota.admission());
--- a/src/main/java/gladeknot/jobs/Job.java
+++ b/src/main/java/gladeknot/jobs/Job.java
@@ -39,10 +39,18 @@
     CANCELLED
   }
 
-  /** Prefix of the keys of all job records; the job's id follows. */
+  /** Prefix of the keys of job records that are not in the archive; the job's id follows. */
   public static final String KEY_PREFIX = StateStore.ROOT + "job/";
 
-  /** Returns the key of a job's record. */
+  /** Prefix of the keys of final records that were moved to the archive. */
+  private static final String ARCHIVE_PREFIX = StateStore.ARCHIVE_ROOT + "job/";
+
+  /** Returns the key of a finished job's record in the archive. */
+  public static String archiveKey(String id) {
+    return ARCHIVE_PREFIX + id;
+  }
+
+  /** Returns the key of a job's record until it is moved to the archive. */
   public static String key(String id) {
     return KEY_PREFIX + id;
   }
--- a/src/main/java/gladeknot/jobs/JobLookup.java
+++ b/src/main/java/gladeknot/jobs/JobLookup.java
@@ -32,9 +32,24 @@
     this.jobs = jobs;
   }
 
-  /** Looks a job up; the registry then knows a job that is finished. */
+  /**
+   * Looks a job up; the registry then knows a job that is finished. The archive is read last, since
+   * a record may be moved there between the two reads.
+   */
   void lookUp(String id, Consumer<Result> callback) {
-    stateStore.read(Job.key(id), read -> callback.accept(result(id, read)));
+    stateStore.read(
+        Job.key(id),
+        read -> {
+          if (read instanceof KeyRead.Absent) {
+            lookUpArchive(id, callback);
+          } else {
+            callback.accept(result(id, read));
+          }
+        });
+  }
+
+  private void lookUpArchive(String id, Consumer<Result> callback) {
+    stateStore.read(Job.archiveKey(id), read -> callback.accept(result(id, read)));
   }
 
   private Result result(String id, KeyRead read) {
--- a/src/main/java/gladeknot/jobs/RequestBatch.java
+++ b/src/main/java/gladeknot/jobs/RequestBatch.java
@@ -42,6 +42,7 @@
   void addSubmission(PendingRequest.Submission submission, Map<String, Object> record) {
     String key = Job.key(submission.jobId());
     preconditions.put(key, ABSENT);
+    preconditions.put(Job.archiveKey(submission.jobId()), ABSENT);
     recordBytes += Json.bytes(record).length;
     mutations.add(Mutation.put(key, record));
     requests.add(submission);
--- a/src/main/java/gladeknot/jobs/RequestCommitter.java
+++ b/src/main/java/gladeknot/jobs/RequestCommitter.java
@@ -263,8 +263,12 @@
 
   private void retry(PendingRequest pending, CommitOutcome conflict) {
     String id = pending.jobId();
-    boolean unknownRecord = conflict.conflictingKeys().contains(Job.key(id)) && !jobs.isKnown(id);
-    if (unknownRecord && pending instanceof PendingRequest.Submission submission) {
+    List<String> conflictingKeys = conflict.conflictingKeys();
+    boolean recordExists =
+        conflictingKeys.contains(Job.key(id)) || conflictingKeys.contains(Job.archiveKey(id));
+    if (recordExists
+        && !jobs.isKnown(id)
+        && pending instanceof PendingRequest.Submission submission) {
       outdatedRequests.onConflict(submission);
     } else {
       queue.add(pending);
--- a/src/main/java/gladeknot/membership/StorageFormat.java
+++ b/src/main/java/gladeknot/membership/StorageFormat.java
@@ -31,8 +31,11 @@
 public final class StorageFormat {
   private static final Logger LOG = LoggerFactory.getLogger(StorageFormat.class);
 
+  /** First format in which final job records may be moved to the archive. */
+  private static final int ARCHIVE_FORMAT = 3;
+
   /** Format that this version announces. */
-  static final int ANNOUNCED = 2;
+  static final int ANNOUNCED = ARCHIVE_FORMAT;
 
   /** Interval between two attempts to commit the storage format, in microseconds. */
   private static final long COMMIT_INTERVAL_MICROS = 1_000_000;
@@ -61,7 +64,7 @@
   /** Storage format in force; null while there is none. */
   private Entry entryInForce;
 
-  private int segmentSplit = 1;
+  private FormatRecord formatInForce = FormatRecord.FIRST;
   private boolean commitInFlight;
   private boolean segmentFull;
   private long nextAttemptMicros;
@@ -97,11 +100,12 @@
     }
     entryInForce = newestEntry;
     // Decoded once, because the split is looked up very often.
-    segmentSplit = entryInForce == null ? 1 : MembershipCodec.format(entryInForce).segmentSplit();
+    formatInForce =
+        entryInForce == null ? FormatRecord.FIRST : MembershipCodec.format(entryInForce);
     segmentFull = false;
     LOG.info(
         "storage format in force segmentSplit={} mark_revision={} copy_revision={}",
-        segmentSplit,
+        segmentSplit(),
         revision(),
         stateStore.revision());
   }
@@ -119,14 +123,22 @@
     return entryInForce == null ? 0 : entryInForce.modRevision();
   }
 
-  /** Returns whether all members are known to run this version or a later one. */
+  /** Returns whether no member runs the first version any more. */
   public boolean agreed() {
     return entryInForce != null;
   }
 
+  /**
+   * Returns whether all members read job records in the archive, so that records may be moved
+   * there.
+   */
+  public boolean allowsArchive() {
+    return formatInForce.format() >= ARCHIVE_FORMAT;
+  }
+
   /** Returns the number of segments that each of the first version's segments is split into. */
   public int segmentSplit() {
-    return segmentSplit;
+    return formatInForce.segmentSplit();
   }
 
   /**
@@ -150,7 +162,8 @@
       limits.onAllMembersUpgraded();
       splitFullSegments(nowMicros);
     }
-    boolean commitNeeded = !agreed() || segmentSplit < limits.targetSegmentSplit();
+    boolean commitNeeded =
+        formatInForce.format() < ANNOUNCED || segmentSplit() < limits.targetSegmentSplit();
     if (!firstMember || commitInFlight || nowMicros < nextAttemptMicros || !commitNeeded) {
       return;
     }
@@ -159,25 +172,27 @@
     if (upgradedRevisions.isPresent() && stateStore.tryAcquireWrites(1, 0)) {
       Map<String, Long> preconditions = upgradedRevisions.get();
       preconditions.put(MembershipKeys.FORMAT, revision());
-      commit(limits.targetSegmentSplit(), preconditions);
+      int split = Math.max(segmentSplit(), limits.targetSegmentSplit());
+      commit(new FormatRecord(ANNOUNCED, split), preconditions);
     }
   }
 
   /** Splits all segments in two, on condition that no other member has done so. */
   private void splitFullSegments(long nowMicros) {
-    if (!segmentFull || nowMicros < nextSplitMicros || segmentSplit >= MAX_SEGMENT_SPLIT) {
+    if (!segmentFull || nowMicros < nextSplitMicros || segmentSplit() >= MAX_SEGMENT_SPLIT) {
       return;
     }
     if (stateStore.tryAcquireWrites(1, 0)) {
       segmentFull = false;
       nextSplitMicros = nowMicros + SPLIT_INTERVAL_MICROS;
-      commit(2 * segmentSplit, Map.of(MembershipKeys.FORMAT, revision()));
+      commit(
+          new FormatRecord(formatInForce.format(), 2 * segmentSplit()),
+          Map.of(MembershipKeys.FORMAT, revision()));
     }
   }
 
-  private void commit(int split, Map<String, Long> preconditions) {
+  private void commit(FormatRecord record, Map<String, Long> preconditions) {
     commitInFlight = true;
-    FormatRecord record = new FormatRecord(ANNOUNCED, split);
     stateStore.commit(
         preconditions,
         List.of(Mutation.put(MembershipKeys.FORMAT, MembershipCodec.encode(record))),
@@ -186,8 +201,8 @@
           LOG.info(
               "storage format committed format={} segmentSplit={} status={} revision={}"
                   + " copy_revision={}",
-              ANNOUNCED,
-              split,
+              record.format(),
+              record.segmentSplit(),
               outcome.status(),
               outcome.revision(),
               stateStore.revision());
--- a/src/main/java/gladeknot/state/KeyLister.java
+++ b/src/main/java/gladeknot/state/KeyLister.java
@@ -1,8 +1,6 @@
 package gladeknot.state;
 
 import gladeknot.outbox.Outbox;
-import gladeknot.state.StateServiceCodec.ListPage;
-import gladeknot.state.StateServiceCodec.ListedKey;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
--- a/src/main/java/gladeknot/state/RequestLimits.java
+++ b/src/main/java/gladeknot/state/RequestLimits.java
@@ -22,6 +22,9 @@
   /** Number of request tokens that a read leaves for lease renewals. */
   private static final double REQUESTS_RESERVED_FOR_RENEWALS = 1;
 
+  /** Part of the burst of requests that a read in the background leaves to all others. */
+  private static final double BACKGROUND_RESERVED_SHARE = 0.5;
+
   /** Number of writes in the smallest transaction that claims a task. */
   private static final int MIN_BURST_WRITES = 2;
 
@@ -95,6 +98,14 @@
     return requests.tryAcquire(1, REQUESTS_RESERVED_FOR_READS, nowMicros);
   }
 
+  /**
+   * Takes the token of one read in the background if there is one, and returns whether there was.
+   * All other requests come first.
+   */
+  boolean tryAcquireBackgroundRead() {
+    return requests.tryAcquire(1, BACKGROUND_RESERVED_SHARE * requests.burst(), nowMicros);
+  }
+
   /** Takes the token of one request that must not wait, even if there is no token. */
   void forceAcquireRequest() {
     requests.forceAcquire(1, nowMicros);
--- a/src/main/java/gladeknot/state/StateServiceCodec.java
+++ b/src/main/java/gladeknot/state/StateServiceCodec.java
@@ -25,12 +25,6 @@
   private static final String LEASE_ID = "grant";
   private static final long MICROS_PER_MILLI = 1000;
 
-  /** One key of a list with its entry. */
-  record ListedKey(String key, Entry entry) {}
-
-  /** One page of a list; {@code revision} is the revision at which the page was read. */
-  record ListPage(long revision, List<ListedKey> keys, boolean more) {}
-
   /** One event of a watch; {@code key} is null if the kind of event is not known. */
   record WatchEvent(String key, Map<String, Object> data, long modRevision) {}
 
--- a/src/main/java/gladeknot/state/StateStore.java
+++ b/src/main/java/gladeknot/state/StateStore.java
@@ -4,6 +4,7 @@
 import gladeknot.settings.Settings;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SortedMap;
 import java.util.function.Consumer;
@@ -18,13 +19,17 @@
 public final class StateStore {
   private static final Logger LOG = LoggerFactory.getLogger(StateStore.class);
 
-  /** Common prefix of all keys, so that one watch covers every change. */
+  /** Common prefix of all keys that are listed and watched, so that one watch covers all. */
   public static final String ROOT = "g/";
 
+  /** Common prefix of keys that are neither listed nor watched, but read one by one. */
+  public static final String ARCHIVE_ROOT = "h/";
+
   /** Key that is never written. A read of this key returns only the state service's revision. */
   private static final String BARRIER_KEY = ROOT + "-";
 
   private static final long COMMIT_TIMEOUT_MICROS = 2_500_000;
+  private static final long PAGE_TIMEOUT_MICROS = 5_000_000;
   private static final long LEASE_TIMEOUT_MICROS = 2_000_000;
 
   private final ChangeListener listener;
@@ -190,6 +195,31 @@
     }
   }
 
+  /**
+   * Reads a page of the keys with a prefix in the background, after all other requests.
+   *
+   * @param afterKey the key after which the page begins; empty for the first page
+   * @param callback receives the page, or empty if it could not be read
+   * @return whether there was a request token; if not, nothing is read
+   */
+  public boolean tryReadPage(
+      String prefix, String afterKey, int size, Consumer<Optional<ListPage>> callback) {
+    if (!requestLimits.tryAcquireBackgroundRead()) {
+      return false;
+    }
+    client.call(
+        "GET",
+        StateServiceCodec.listPath(prefix, afterKey, size),
+        null,
+        PAGE_TIMEOUT_MICROS,
+        reply ->
+            callback.accept(
+                reply.status() == StateServiceCodec.OK
+                    ? Optional.of(StateServiceCodec.listPage(reply))
+                    : Optional.empty()));
+    return true;
+  }
+
   /**
    * Runs {@code onFresh} once the cache is known to hold all changes up to now, or {@code onFailed}
    * if this can't be proved before the timeout of a barrier. Many barriers share one read.
@@ -218,7 +248,7 @@
     switch (outcome.status()) {
       case COMMITTED -> {
         lag.onCommitted(outcome.revision());
-        listener.onChanges(cache.applyCommitted(mutations, outcome.revision()));
+        listener.onChanges(cache.applyCommitted(watched(mutations), outcome.revision()));
       }
       case REJECTED -> onRejected(reply, mutations);
       case CONFLICT, UNAVAILABLE, THROTTLED, UNKNOWN -> {
@@ -228,6 +258,10 @@
     return outcome;
   }
 
+  private static List<Mutation> watched(List<Mutation> mutations) {
+    return mutations.stream().filter(mutation -> mutation.key().startsWith(ROOT)).toList();
+  }
+
   private void onRejected(Outbox.Reply reply, List<Mutation> mutations) {
     LOG.error(
         "transaction rejected error={} sizes={}",
--- a/src/main/java/gladeknot/state/WatchCache.java
+++ b/src/main/java/gladeknot/state/WatchCache.java
@@ -1,6 +1,5 @@
 package gladeknot.state;
 
-import gladeknot.state.StateServiceCodec.ListedKey;
 import gladeknot.state.StateServiceCodec.WatchEvent;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/test/java/gladeknot/state/WatchCacheTest.java
+++ b/src/test/java/gladeknot/state/WatchCacheTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import gladeknot.state.StateServiceCodec.ListedKey;
 import gladeknot.state.StateServiceCodec.WatchEvent;
 import java.util.List;
 import java.util.Map;
