--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -5,6 +5,7 @@
 import gladeknot.settings.Features;
 import gladeknot.settings.Settings;
 import gladeknot.tasks.RecordedAttempts;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -217,6 +218,21 @@
     controllers.request(node, method, path, body, handler);
   }
 
+  /** Sends a request, runs for two seconds, and returns the status and text of the answer. */
+  public String answerOf(int node, String method, String path, Object body) {
+    String[] answered = {"no answer"};
+    request(
+        node,
+        method,
+        path,
+        body,
+        answer ->
+            answered[0] =
+                answer.status() + " " + new String(answer.body(), StandardCharsets.UTF_8));
+    run(2 * MICROS_PER_SECOND);
+    return answered[0];
+  }
+
   /** Submits a job, and retries until it is accepted. */
   public void submit(int node, Map<String, Object> job) {
     users.submit(node, job);
