--- a/review/stand-ins-2/Site.java
+++ b/review/stand-ins-2/Site.java
@@ -383,6 +383,11 @@
     return starts.keySet().stream().anyMatch(strand -> strand.startsWith(job + "/"));
   }
 
+  /** Returns the number of tasks of a job that are on machines now. */
+  synchronized int onMachines(String job) {
+    return (int) placed.keySet().stream().filter(strand -> strand.startsWith(job + "/")).count();
+  }
+
   private long nextTooLargeNote;
 
   synchronized void onReportTooLarge(Worker worker, int bytes, int count) {
