Make a key of any name, and isolate writes that the state service refuses

Cause: QuotaRecordCodec and MembershipKeys put the names of teams and controllers into keys as they are. The state service refuses keys with spaces or of more than 200 bytes with 400, for good. The committer repeated the refused transaction every 150 ms, together with changes of other teams. Related: keys were not escaped in the queries of lists (a page after "a&b" began elsewhere), a vertical bar in the name of a team, zone or machine type made slices and machine records unreadable, and a team whose name has over 200 characters could submit nothing.

Change: NamedKeys keeps every name that fits a key as it is, so that keys stored today are found by this version and the one before. RejectedChanges sends the changes of a refused transaction one by one; one that is refused alone is dropped and not sent again unchanged. RequestCommitter does the same with users' requests, and answers a submission that is refused alone with 400. The fake state service refuses malformed keys as the protocol says, and a simulated cluster reports them as violations.

--- a/src/main/java/gladeknot/commit/BatchBuilder.java
+++ b/src/main/java/gladeknot/commit/BatchBuilder.java
@@ -35,6 +35,7 @@
   private final BatchLimits limits;
   private final CommitState state;
   private final SliceBatcher sliceBatcher;
+  private final RejectedChanges rejected;
   private final MutationBatcher mutationBatcher;
 
   BatchBuilder(
@@ -46,7 +47,8 @@
       SliceReloader reloader,
       BatchLimits limits,
       CommitState state,
-      SliceBatcher sliceBatcher) {
+      SliceBatcher sliceBatcher,
+      RejectedChanges rejected) {
     this.stateStore = stateStore;
     this.membership = membership;
     this.jobs = jobs;
@@ -56,7 +58,8 @@
     this.limits = limits;
     this.state = state;
     this.sliceBatcher = sliceBatcher;
-    this.mutationBatcher = new MutationBatcher(membership, pending);
+    this.rejected = rejected;
+    this.mutationBatcher = new MutationBatcher(membership, pending, rejected);
   }
 
   /**
@@ -85,6 +88,24 @@
     return batch;
   }
 
+  /**
+   * Builds a transaction of one change that was part of a rejected transaction; it is empty if
+   * there is none.
+   */
+  TransactionBatch buildSuspect() {
+    TransactionBatch batch = new TransactionBatch(stateStore, slices.segments());
+    mutationBatcher.addSuspectTo(batch);
+    for (Slice slice : pending.copyDirtySlices()) {
+      if (batch.isEmpty()
+          && rejected.isSuspect(slice)
+          && !rejected.isHeld(slice)
+          && mayCommit(slice)) {
+        sliceBatcher.add(slice, batch);
+      }
+    }
+    return batch;
+  }
+
   /** Returns the keys of at most {@code maxSegments} segments that have a slice due for commit. */
   private Set<String> chooseSegments(int maxSegments) {
     Set<String> segmentKeys = new HashSet<>();
@@ -97,8 +118,8 @@
     return segmentKeys;
   }
 
-  private static boolean isPlainUpdate(Slice slice) {
-    return slice.pendingClaims().isEmpty() && !slice.needsMigration();
+  private boolean isPlainUpdate(Slice slice) {
+    return slice.pendingClaims().isEmpty() && !slice.needsMigration() && !rejected.isSuspect(slice);
   }
 
   /**
@@ -130,7 +151,10 @@
     int maxKeys = limits.availableOperations();
     boolean skipped = false;
     for (Slice slice : pending.copyDirtySlices()) {
-      if (slice.pendingClaims().isEmpty() || slice.needsMigration() || !mayCommit(slice)) {
+      if (slice.pendingClaims().isEmpty()
+          || slice.needsMigration()
+          || rejected.isSuspect(slice)
+          || !mayCommit(slice)) {
         continue;
       }
       if (!claimFits(slice, batch, maxKeys)) {
--- a/src/main/java/gladeknot/commit/MutationBatcher.java
+++ b/src/main/java/gladeknot/commit/MutationBatcher.java
@@ -8,24 +8,56 @@
 final class MutationBatcher {
   private final Membership membership;
   private final PendingChanges pending;
+  private final RejectedChanges rejected;
 
-  MutationBatcher(Membership membership, PendingChanges pending) {
+  MutationBatcher(Membership membership, PendingChanges pending, RejectedChanges rejected) {
     this.membership = membership;
     this.pending = pending;
+    this.rejected = rejected;
   }
 
   /** Adds as many mutations as fit into a number of operations, field mutations first. */
   void addTo(TransactionBatch batch, int maxOperations) {
     for (int remaining = pending.fieldMutationCount(); remaining > 0; remaining--) {
-      add(pending.takeFieldMutation(), batch, maxOperations);
+      FieldMutation mutation = pending.takeFieldMutation();
+      if (rejected.isSuspect(mutation)) {
+        pending.submit(mutation);
+      } else {
+        add(mutation, batch, maxOperations);
+      }
     }
     int remaining = pending.keyMutationCount();
     while (remaining > 0 && batch.operationCount() < maxOperations) {
-      add(pending.takeKeyMutation(), batch);
+      KeyMutation mutation = pending.takeKeyMutation();
+      if (rejected.isSuspect(mutation)) {
+        pending.submit(mutation);
+      } else {
+        add(mutation, batch);
+      }
       remaining--;
     }
   }
 
+  /** Adds one mutation that has to be committed alone, if there is any. */
+  void addSuspectTo(TransactionBatch batch) {
+    for (int i = pending.fieldMutationCount(); i > 0 && batch.isEmpty(); i--) {
+      FieldMutation mutation = pending.takeFieldMutation();
+      if (rejected.isSuspect(mutation)) {
+        add(mutation, batch, 1);
+      } else {
+        pending.submit(mutation);
+      }
+    }
+    for (int i = pending.keyMutationCount(); i > 0 && batch.isEmpty(); i--) {
+      KeyMutation mutation = pending.takeKeyMutation();
+      if (rejected.isSuspect(mutation)) {
+        add(mutation, batch);
+      } else {
+        pending.submit(mutation);
+      }
+    }
+  }
+
   private void add(FieldMutation mutation, TransactionBatch batch, int maxOperations) {
     if (!mayCommit(mutation.shard())) {
       if (isOwned(mutation.shard())) {
@@ -35,6 +67,10 @@
       }
       return;
     }
+    if (rejected.wasRejected(mutation)) {
+      mutation.callback().onOutcome(false);
+      return;
+    }
     if (!batch.writes(mutation.key()) && batch.operationCount() >= maxOperations) {
       pending.submit(mutation);
       return;
@@ -57,7 +93,7 @@
       }
       return;
     }
-    if (!mutation.stillValid().getAsBoolean()) {
+    if (rejected.wasRejected(mutation) || !mutation.stillValid().getAsBoolean()) {
       mutation.callback().onOutcome(false);
       return;
     }
--- a/src/main/java/gladeknot/commit/OutcomeHandler.java
+++ b/src/main/java/gladeknot/commit/OutcomeHandler.java
@@ -21,6 +21,9 @@
   /** Pause after a transaction that was certainly not executed, in microseconds. */
   private static final long PAUSE_MICROS = 150_000;
 
+  /** Backoff of starts in a slice whose record the state service rejects, in microseconds. */
+  private static final long REJECTED_SLICE_BACKOFF_MICROS = 60_000_000;
+
   private final StateStore stateStore;
   private final Membership membership;
   private final SliceRegistry slices;
@@ -29,6 +32,7 @@
   private final SliceReloader reloader;
   private final BatchLimits limits;
   private final CommitState state;
+  private final RejectedChanges rejected;
   private CommitListener listener = () -> {};
 
   OutcomeHandler(
@@ -39,7 +43,8 @@
       PendingChanges pending,
       SliceReloader reloader,
       BatchLimits limits,
-      CommitState state) {
+      CommitState state,
+      RejectedChanges rejected) {
     this.stateStore = stateStore;
     this.membership = membership;
     this.slices = slices;
@@ -48,6 +53,7 @@
     this.reloader = reloader;
     this.limits = limits;
     this.state = state;
+    this.rejected = rejected;
   }
 
   /** Sets the listener that is notified after each outcome has been applied. */
@@ -65,13 +71,18 @@
     switch (outcome.status()) {
       case COMMITTED -> onCommitted(batch);
       case UNKNOWN -> onUnknown(batch);
-      default -> onNotExecuted(batch, outcome.status());
+      case REJECTED -> onRejected(batch);
+      default -> {
+        state.pause(PAUSE_MICROS);
+        retryLater(batch);
+      }
     }
     listener.onOutcomeApplied();
   }
 
   private void onCommitted(TransactionBatch batch) {
     limits.onCommitted();
+    rejected.onCommitted(batch);
     batch.packedValues().forEach(slices.segments()::onSegmentWritten);
     batch.slices().forEach(this::onSliceCommitted);
     batch.keyMutations().forEach(mutation -> mutation.callback().onOutcome(true));
@@ -168,12 +179,32 @@
     retryLater(batch);
   }
 
-  private void onNotExecuted(TransactionBatch batch, CommitStatus status) {
-    if (status == CommitStatus.REJECTED) {
+  /**
+   * Handles a transaction that the state service refuses for good. It would refuse the same
+   * transaction again, so its changes are sent one by one, and a change that is refused alone is
+   * dropped.
+   */
+  private void onRejected(TransactionBatch batch) {
+    state.pause(PAUSE_MICROS);
+    if (!batch.hasSingleChange()) {
       limits.onRejected();
+      rejected.suspectAll(batch);
+      retryLater(batch);
+      return;
     }
-    state.pause(PAUSE_MICROS);
-    retryLater(batch);
+    LOG.error("change rejected keys={}", batch.keys());
+    rejected.onRejectedAlone(batch);
+    batch.keyMutations().forEach(mutation -> mutation.callback().onOutcome(false));
+    batch.fieldMutations().forEach(mutation -> mutation.callback().onOutcome(false));
+    batch.packedKeys().forEach(reloader::refreshSegment);
+    batch.slices().forEach(snapshot -> dropStarts(snapshot.slice()));
+  }
+
+  /** Drops the uncommitted starts and claims of a slice; ends wait until the slice changes. */
+  private void dropStarts(Slice slice) {
+    reloader.reload(slice);
+    slice.backOffUntil(state.nowMicros() + REJECTED_SLICE_BACKOFF_MICROS);
+    rejected.holdUntilChanged(slice);
   }
 
   private void retryLater(TransactionBatch batch) {
--- a/src/main/java/gladeknot/commit/TransactionBatch.java
+++ b/src/main/java/gladeknot/commit/TransactionBatch.java
@@ -58,6 +58,11 @@
     return packedValues;
   }
 
+  /** Returns the keys that the transaction writes. */
+  List<String> keys() {
+    return operations().stream().map(Mutation::key).toList();
+  }
+
   Set<String> packedKeys() {
     return packedValues.keySet();
   }
@@ -74,6 +79,11 @@
     return operationCount() == 0;
   }
 
+  /** Returns whether the batch contains the changes of one slice or one mutation only. */
+  boolean hasSingleChange() {
+    return slices.size() + keyMutations.size() + fieldMutations.size() == 1;
+  }
+
   /** Returns the approximate size of the batch's packed values, in bytes. */
   int bytes() {
     return bytes;
--- a/src/main/java/gladeknot/commit/TransactionCommitter.java
+++ b/src/main/java/gladeknot/commit/TransactionCommitter.java
@@ -20,12 +20,14 @@
   private final SliceRegistry slices;
   private final PendingChanges pending = new PendingChanges();
   private final CommitState state = new CommitState();
+  private final RejectedChanges rejected = new RejectedChanges();
   private final SliceReloader reloader;
   private final BatchBuilder builder;
   private final OutcomeHandler outcomes;
   private final TransactionSender sender;
   private final SegmentMigrator migrator;
   private boolean claimsNext;
+  private boolean suspectNext;
 
   /** Creates a committer without pending changes. */
   public TransactionCommitter(
@@ -42,10 +44,19 @@
         new SliceBatcher(membership, jobs, slices, pending, reloader, limits, state);
     builder =
         new BatchBuilder(
-            stateStore, membership, jobs, slices, pending, reloader, limits, state, sliceBatcher);
+            stateStore,
+            membership,
+            jobs,
+            slices,
+            pending,
+            reloader,
+            limits,
+            state,
+            sliceBatcher,
+            rejected);
     outcomes =
         new OutcomeHandler(
-            stateStore, membership, slices, tracer, pending, reloader, limits, state);
+            stateStore, membership, slices, tracer, pending, reloader, limits, state, rejected);
     sender = new TransactionSender(stateStore, state, outcomes);
     migrator =
         new SegmentMigrator(
@@ -114,12 +125,28 @@
     }
   }
 
+  /**
+   * Builds batches of one suspect change each and other batches alternately, so that neither holds
+   * up the other.
+   */
+  private TransactionBatch buildNext() {
+    suspectNext = rejected.hasSuspects() && !suspectNext;
+    if (suspectNext) {
+      rejected.retainSlices(pending.dirtySlices());
+      TransactionBatch batch = builder.buildSuspect();
+      if (!batch.isEmpty()) {
+        return batch;
+      }
+    }
+    return buildNextUnsuspected();
+  }
+
   /**
    * Builds batches of claims and of other changes alternately. A claim needs at least two writes,
    * and its resources stay allocated until it is committed. If other changes always used up the
    * write tokens, a claim would never be committed.
    */
-  private TransactionBatch buildNext() {
+  private TransactionBatch buildNextUnsuspected() {
     TransactionBatch batch = build();
     if (batch.awaitsTokens()) {
       return batch;
--- a/src/main/java/gladeknot/fleet/CloudCodec.java
+++ b/src/main/java/gladeknot/fleet/CloudCodec.java
@@ -1,5 +1,7 @@
 package gladeknot.fleet;
 
+import com.google.common.escape.Escaper;
+import com.google.common.net.PercentEscaper;
 import gladeknot.json.Json;
 import gladeknot.outbox.Outbox;
 import gladeknot.workers.MachineType;
@@ -25,6 +27,9 @@
   /** Error text by which the cloud reports an outage of its own rather than a lack of instances. */
   private static final String OUTAGE_ERROR = "trouble";
 
+  /** Escapes what a query can't contain. */
+  private static final Escaper NAME_ESCAPER = new PercentEscaper("-._~", false);
+
   private static final String FAILED_PHASE = "failed";
   private static final double THOUSANDTHS = 1000;
   private static final double MICROS_PER_SECOND = 1e6;
@@ -93,7 +98,7 @@
    * {@code afterHost} is empty.
    */
   static String instancePagePath(String afterHost) {
-    String from = afterHost.isEmpty() ? "" : "from=" + afterHost + "&";
+    String from = afterHost.isEmpty() ? "" : "from=" + NAME_ESCAPER.escape(afterHost) + "&";
     return INSTANCES_PATH + "?" + from + "most=" + PAGE_SIZE;
   }
 
--- a/src/main/java/gladeknot/jobs/JobSpecCodec.java
+++ b/src/main/java/gladeknot/jobs/JobSpecCodec.java
@@ -69,7 +69,7 @@
     return new JobSpec(
         id,
         text(JOB_CLASS),
-        text(TEAM),
+        team(),
         shape,
         priority,
         tasks,
@@ -215,6 +215,15 @@
     return value;
   }
 
+  /** Returns the team; the settings, not this codec, limit the length of its name. */
+  private String team() throws MalformedJobException {
+    String value = Json.text(fields, TEAM);
+    if (value == null || value.isEmpty()) {
+      throw malformed(TEAM, "must be a text that is not empty");
+    }
+    return value;
+  }
+
   private String optionalText(String name) throws MalformedJobException {
     return fields.get(name) == null ? null : text(name);
   }
--- a/src/main/java/gladeknot/jobs/RequestCommitter.java
+++ b/src/main/java/gladeknot/jobs/RequestCommitter.java
@@ -1,12 +1,16 @@
 package gladeknot.jobs;
 
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
 import gladeknot.state.CommitOutcome;
 import gladeknot.state.StateStore;
 import gladeknot.tracing.TaskTracer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,6 +37,10 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(RequestCommitter.class);
   private static final int MAX_QUEUED_REQUESTS = 300;
+
+  /** Maximum number of rejected submissions that are remembered. */
+  private static final int MAX_REJECTED_SUBMISSIONS = 1000;
+
   private static final long MAX_WAIT_MICROS = 2_500_000;
 
   /** Delay until the next transaction after the state service has throttled one. */
@@ -51,6 +59,17 @@
   private final JobRequestHandler.ClusterView cluster;
   private final OutdatedRequestListener outdatedRequests;
   private final ArrayDeque<PendingRequest> queue = new ArrayDeque<>();
+
+  /**
+   * Jobs whose requests were part of a transaction that the state service rejected as malformed.
+   * Each of these requests is committed alone, because any of them may be at fault.
+   */
+  private final Set<String> suspects = new HashSet<>();
+
+  /** Submissions whose records the state service rejects, by job. */
+  private final Cache<String, JobSpec> rejectedSubmissions =
+      CacheBuilder.newBuilder().maximumSize(MAX_REJECTED_SUBMISSIONS).build();
+
   private boolean inFlight;
   private long nextCommitMicros;
   private long nowMicros;
@@ -73,7 +92,9 @@
 
   /** Queues a validated submission. */
   void submit(long request, JobSpec spec) {
-    if (enqueue(new PendingRequest.Submission(request, spec, nowMicros))) {
+    if (spec.equals(rejectedSubmissions.getIfPresent(spec.id()))) {
+      answers.rejected(request, SubmissionErrors.notStorable());
+    } else if (enqueue(new PendingRequest.Submission(request, spec, nowMicros))) {
       tracer.submitted(spec.id());
       flush();
     }
@@ -106,6 +127,9 @@
   }
 
   private void flush() {
+    if (!inFlight && queue.isEmpty()) {
+      suspects.clear();
+    }
     if (inFlight || queue.isEmpty() || nowMicros < nextCommitMicros || !stateStore.loaded()) {
       return;
     }
@@ -137,13 +161,17 @@
             stateStore.limits().maxTransactionBytes());
     while (!queue.isEmpty() && !batch.isFull()) {
       PendingRequest pending = queue.poll();
-      if (batch.changes(pending.jobId())) {
+      boolean suspect = suspects.contains(pending.jobId());
+      if (batch.changes(pending.jobId()) || (suspect && !batch.isEmpty())) {
         deferred.add(pending);
       } else if (pending instanceof PendingRequest.Submission submission) {
         addSubmission(submission, batch);
       } else if (pending instanceof PendingRequest.Cancellation cancellation) {
         addCancellation(cancellation, batch);
       }
+      if (suspect && !batch.isEmpty()) {
+        break;
+      }
     }
     return batch;
   }
@@ -195,6 +223,7 @@
           // The transaction may still be applied. A repeated request finds the job or commits it
           // again.
           refuseAll(requests, JobAnswers.STATE_SERVICE_UNREACHABLE);
+      case REJECTED -> onRejected(requests);
       case THROTTLED -> {
         // Nothing was applied, and tokens will be available soon. Until then, tick refuses requests
         // that wait for too long.
@@ -208,7 +237,31 @@
     }
   }
 
+  /**
+   * Handles a transaction that the state service refuses for good. Its requests are committed one
+   * by one, so that a faulty one holds up no other. A submission that is refused alone can't be
+   * stored.
+   */
+  private void onRejected(List<PendingRequest> requests) {
+    nextCommitMicros = nowMicros + FAILED_DELAY_MICROS;
+    if (requests.size() > 1) {
+      requests.forEach(pending -> suspects.add(pending.jobId()));
+      putBack(requests);
+      return;
+    }
+    PendingRequest pending = requests.get(0);
+    suspects.remove(pending.jobId());
+    LOG.error("request rejected job={}", pending.jobId());
+    if (pending instanceof PendingRequest.Submission submission) {
+      rejectedSubmissions.put(submission.jobId(), submission.spec());
+      answers.rejected(pending.request(), SubmissionErrors.notStorable());
+    } else {
+      refuse(pending, "the state service refuses the cancellation");
+    }
+  }
+
   private void answerCommitted(List<PendingRequest> requests) {
+    requests.forEach(pending -> suspects.remove(pending.jobId()));
     announceCancellations(requests);
     for (PendingRequest pending : requests) {
       String id = pending.jobId();
--- a/src/main/java/gladeknot/jobs/SubmissionErrors.java
+++ b/src/main/java/gladeknot/jobs/SubmissionErrors.java
@@ -24,6 +24,11 @@
     return new Rejected(Cause.MALFORMED, longestField + ": too long");
   }
 
+  /** The state service refuses the job's record. */
+  static Rejected notStorable() {
+    return new Rejected(Cause.MALFORMED, "the job can't be stored");
+  }
+
   static Rejected unknownTeam(String team) {
     return unsatisfiable("owner: unknown team " + team);
   }
--- a/src/main/java/gladeknot/membership/MembershipKeys.java
+++ b/src/main/java/gladeknot/membership/MembershipKeys.java
@@ -1,11 +1,12 @@
 package gladeknot.membership;
 
+import gladeknot.state.NamedKeys;
 import gladeknot.state.StateStore;
 
 /** The keys under which this package's records are stored. */
 final class MembershipKeys {
-  /** Prefix of the controllers' liveness keys. */
-  static final String LIVENESS_PREFIX = StateStore.ROOT + "alive/";
+  /** The controllers' liveness keys. */
+  private static final NamedKeys LIVENESS = new NamedKeys("alive");
 
   /** Key of the counter from which terms are drawn. */
   static final String TERM_COUNTER = StateStore.ROOT + "term";
@@ -27,8 +28,13 @@
     return SHARD_PREFIX + shard;
   }
 
+  /** Returns the prefix that the liveness keys of all controllers have in common. */
+  static String livenessPrefix() {
+    return LIVENESS.commonPrefix();
+  }
+
   static String liveness(String node) {
-    return LIVENESS_PREFIX + node;
+    return LIVENESS.key(node);
   }
 
   static String delegation(int shard) {
--- a/src/main/java/gladeknot/membership/StateLease.java
+++ b/src/main/java/gladeknot/membership/StateLease.java
@@ -75,7 +75,7 @@
 
   /** Returns the number of controllers whose liveness keys exist in the watch cache. */
   static int aliveCount(StateStore stateStore) {
-    return stateStore.withPrefix(MembershipKeys.LIVENESS_PREFIX).size();
+    return stateStore.withPrefix(MembershipKeys.livenessPrefix()).size();
   }
 
   void setTime(long micros) {
--- a/src/main/java/gladeknot/quota/QuotaRecordCodec.java
+++ b/src/main/java/gladeknot/quota/QuotaRecordCodec.java
@@ -2,7 +2,7 @@
 
 import gladeknot.json.Json;
 import gladeknot.state.Entry;
-import gladeknot.state.StateStore;
+import gladeknot.state.NamedKeys;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +13,7 @@
  * GPU amounts, each by shard.
  */
 final class QuotaRecordCodec {
-  private static final String KEY_PREFIX = StateStore.ROOT + "team/";
+  private static final NamedKeys KEYS = new NamedKeys("team");
   private static final String CPUS = "c";
   private static final String GPUS = "g";
 
@@ -24,7 +24,7 @@
 
   /** Returns the key of a team's record. */
   static String key(String team) {
-    return KEY_PREFIX + team;
+    return KEYS.key(team);
   }
 
   /**
--- a/src/main/java/gladeknot/state/StateServiceCodec.java
+++ b/src/main/java/gladeknot/state/StateServiceCodec.java
@@ -1,5 +1,7 @@
 package gladeknot.state;
 
+import com.google.common.escape.Escaper;
+import com.google.common.net.PercentEscaper;
 import gladeknot.json.Json;
 import gladeknot.outbox.Outbox;
 import java.util.ArrayList;
@@ -25,6 +27,9 @@
   private static final String LEASE_ID = "grant";
   private static final long MICROS_PER_MILLI = 1000;
 
+  /** Escapes what a path and a query can't contain, and plus signs. */
+  private static final Escaper KEY_ESCAPER = new PercentEscaper("-._~/", false);
+
   /** One event of a watch; {@code key} is null if the kind of event is not known. */
   record WatchEvent(String key, Map<String, Object> data, long modRevision) {}
 
@@ -39,7 +44,7 @@
    * @param afterKey the key after which the page begins; empty for the first page
    */
   static String listPath(String prefix, String afterKey, int limit) {
-    String after = afterKey.isEmpty() ? "" : "&from=" + afterKey;
+    String after = afterKey.isEmpty() ? "" : "&from=" + escape(afterKey);
     return "/kv?starts=" + prefix + after + "&most=" + limit;
   }
 
@@ -52,7 +57,12 @@
 
   /** Returns the path of one key. */
   static String keyPath(String key) {
-    return "/kv/" + key;
+    return "/kv/" + escape(key);
+  }
+
+  /** Returns a key as it appears in a path or a query, in which slashes are not escaped. */
+  private static String escape(String key) {
+    return KEY_ESCAPER.escape(key);
   }
 
   /** Returns the path of a POST that renews a lease. */
--- a/src/main/java/gladeknot/tasks/SliceRecord.java
+++ b/src/main/java/gladeknot/tasks/SliceRecord.java
@@ -1,12 +1,14 @@
 package gladeknot.tasks;
 
+import gladeknot.json.FieldEscaper;
 import java.util.BitSet;
 import java.util.List;
 
 /**
  * The stored form of a slice: {@code TEAM|CPUS|GPUS|MEMORY|COUNTER|ASSIGNED|DONE|ATTEMPTS}. Amounts
  * are in thousandths, sets of tasks are in the form of {@link TaskRanges}, and attempts are in the
- * form of {@link AttemptCodec}.
+ * form of {@link AttemptCodec}. If the team's name contains the separator, it is escaped and a
+ * field {@code e} follows.
  *
  * @param attemptCounter the number of attempt numbers that the slice has assigned
  * @param assigned the tasks that are assigned to the shard
@@ -39,6 +41,8 @@
   private static final int ASSIGNED = 5;
   private static final int DONE = 6;
   private static final int ATTEMPTS = 7;
+  private static final int NAME_FORM = 8;
+  private static final String ESCAPED = "e";
 
   /** Decodes a stored record with its attempts in either form. */
   static SliceRecord decode(String text) {
@@ -46,7 +50,7 @@
     BitSet assigned = TaskRanges.parse(fields[ASSIGNED]);
     boolean allDone = fields[DONE].equals(ALL_ASSIGNED);
     return new SliceRecord(
-        fields[TEAM],
+        isEscaped(fields) ? FieldEscaper.unescape(fields[TEAM]) : fields[TEAM],
         Long.parseLong(fields[CPUS]),
         Long.parseLong(fields[GPUS]),
         Long.parseLong(fields[MEMORY]),
@@ -56,6 +60,10 @@
         AttemptCodec.decode(fields[ATTEMPTS]));
   }
 
+  private static boolean isEscaped(String[] fields) {
+    return fields.length > NAME_FORM && fields[NAME_FORM].equals(ESCAPED);
+  }
+
   /** Returns the assigned tasks of a stored record without decoding its other fields. */
   static BitSet assignedIn(String text) {
     return TaskRanges.parse(text.split(SEPARATOR_PATTERN, ASSIGNED + 2)[ASSIGNED]);
@@ -67,15 +75,18 @@
    * @param compact whether to encode the attempts in the compact form
    */
   String encode(boolean compact) {
-    return String.join(
-        SEPARATOR,
-        team,
-        Long.toString(cpus),
-        Long.toString(gpus),
-        Long.toString(memory),
-        Long.toString(attemptCounter),
-        TaskRanges.text(assigned),
-        done.equals(assigned) ? ALL_ASSIGNED : TaskRanges.text(done),
-        compact ? AttemptCodec.encodeCompact(attempts) : AttemptCodec.encodePlain(attempts));
+    boolean escaped = FieldEscaper.isNeededFor(team);
+    String record =
+        String.join(
+            SEPARATOR,
+            escaped ? FieldEscaper.escape(team) : team,
+            Long.toString(cpus),
+            Long.toString(gpus),
+            Long.toString(memory),
+            Long.toString(attemptCounter),
+            TaskRanges.text(assigned),
+            done.equals(assigned) ? ALL_ASSIGNED : TaskRanges.text(done),
+            compact ? AttemptCodec.encodeCompact(attempts) : AttemptCodec.encodePlain(attempts));
+    return escaped ? record + SEPARATOR + ESCAPED : record;
   }
 }
--- a/src/main/java/gladeknot/workers/WorkerRecordCodec.java
+++ b/src/main/java/gladeknot/workers/WorkerRecordCodec.java
@@ -1,10 +1,12 @@
 package gladeknot.workers;
 
+import gladeknot.json.FieldEscaper;
 import gladeknot.state.StateStore;
 
 /**
  * Keys and stored form of machine records. The stored form is {@code
- * shard|type|zone|s-or-o|launched|x-or-nothing}. Adjacent versions read each other's records.
+ * shard|type|zone|s-or-o|launched|x-or-nothing}. If the type or the zone contains the separator,
+ * both are escaped and a field {@code e} follows. Adjacent versions read each other's records.
  */
 public final class WorkerRecordCodec {
   /** Prefix of the keys of all machine records. */
@@ -22,6 +24,8 @@
   private static final String SPOT = "s";
   private static final String ON_DEMAND = "o";
   private static final String TERMINATING = "x";
+  private static final String ESCAPED = "e";
+  private static final int PLAIN_FIELDS = 6;
 
   private WorkerRecordCodec() {}
 
@@ -46,26 +50,30 @@
 
   /** Returns the stored form of a record. */
   public static String encode(WorkerRecord worker) {
+    boolean escaped =
+        FieldEscaper.isNeededFor(worker.type()) || FieldEscaper.isNeededFor(worker.zone());
     return worker.shard()
         + SEPARATOR
-        + worker.type()
+        + (escaped ? FieldEscaper.escape(worker.type()) : worker.type())
         + SEPARATOR
-        + worker.zone()
+        + (escaped ? FieldEscaper.escape(worker.zone()) : worker.zone())
         + SEPARATOR
         + (worker.spot() ? SPOT : ON_DEMAND)
         + SEPARATOR
         + worker.launchedWallMicros()
         + SEPARATOR
-        + (worker.terminating() ? TERMINATING : "");
+        + (worker.terminating() ? TERMINATING : "")
+        + (escaped ? SEPARATOR + ESCAPED : "");
   }
 
   /** Decodes a record from its stored form, which must not be {@link #RELEASED}. */
   static WorkerRecord decode(String stored) {
     String[] parts = stored.split(SEPARATOR_PATTERN, -1);
+    boolean escaped = parts.length > PLAIN_FIELDS && parts[PLAIN_FIELDS].equals(ESCAPED);
     return new WorkerRecord(
         Integer.parseInt(parts[0]),
-        parts[1],
-        parts[2],
+        escaped ? FieldEscaper.unescape(parts[1]) : parts[1],
+        escaped ? FieldEscaper.unescape(parts[2]) : parts[2],
         parts[3].equals(SPOT),
         Long.parseLong(parts[4]),
         parts[5].equals(TERMINATING));
--- a/src/test/java/gladeknot/standin/ClusterScale.java
+++ b/src/test/java/gladeknot/standin/ClusterScale.java
@@ -14,6 +14,7 @@
  * @param valueBytes maximum size of a value that the state service accepts, in bytes
  * @param nextValueBytes maximum size of a value after the limits were lowered, in bytes
  * @param nextOperations maximum number of writes of a transaction after the limits were lowered
+ * @param nodePrefix the part of the controllers' names before their numbers
  */
 public record ClusterScale(
     int machines,
@@ -23,13 +24,15 @@
     double writeRps,
     int valueBytes,
     int nextValueBytes,
-    int nextOperations) {
+    int nextOperations,
+    String nodePrefix) {
   public static final long TEAM_CPUS = 24_000;
 
   /** Maximum number of writes of a transaction before the limits are lowered. */
   static final int OPERATIONS = 16;
 
   private static final int DEFAULT_VALUE_BYTES = 8192;
+  private static final String DEFAULT_NODE_PREFIX = "node-";
 
   /** Scale of most tests: twelve machines. */
   public static final ClusterScale SMALL = new ClusterScale(12, TEAM_CPUS, 300, 150);
@@ -54,7 +57,8 @@
         writeRps,
         valueBytes,
         nextValueBytes,
-        nextOperations);
+        nextOperations,
+        DEFAULT_NODE_PREFIX);
   }
 
   /** Creates a scale whose limits of the state service stay as they are. */
@@ -82,7 +86,22 @@
         SMALL.writeRps,
         DEFAULT_VALUE_BYTES,
         DEFAULT_VALUE_BYTES,
-        OPERATIONS);
+        OPERATIONS,
+        DEFAULT_NODE_PREFIX);
+  }
+
+  /** Returns this scale with controllers of other names; a number follows the prefix. */
+  public ClusterScale withNodePrefix(String prefix) {
+    return new ClusterScale(
+        machines,
+        machineGpus,
+        teams,
+        stateRps,
+        writeRps,
+        valueBytes,
+        nextValueBytes,
+        nextOperations,
+        prefix);
   }
 
   /** Returns this scale with other limits of the teams, as after a change of the settings. */
@@ -95,6 +114,7 @@
         writeRps,
         valueBytes,
         nextValueBytes,
-        nextOperations);
+        nextOperations,
+        nodePrefix);
   }
 }
--- a/src/test/java/gladeknot/standin/ClusterSettings.java
+++ b/src/test/java/gladeknot/standin/ClusterSettings.java
@@ -26,11 +26,11 @@
   /** Returns the settings of the controller with the given index. */
   public static Settings of(int index, int controllers, ClusterScale scale) {
     return new Settings(
-        "node-" + index,
+        scale.nodePrefix() + index,
         "a",
         "10.0.0." + index + ":80",
         "10.0.0." + index + ":1",
-        otherMembers(index, controllers),
+        otherMembers(index, controllers, scale.nodePrefix()),
         "cloud:1",
         "state:1",
         List.of("a", "b"),
@@ -60,11 +60,11 @@
     return Collections.unmodifiableMap(teams);
   }
 
-  private static List<Settings.Member> otherMembers(int index, int controllers) {
+  private static List<Settings.Member> otherMembers(int index, int controllers, String nodePrefix) {
     List<Settings.Member> members = new ArrayList<>();
     for (int i = 0; i < controllers; i++) {
       if (i != index) {
-        members.add(new Settings.Member("node-" + i, "a", "10.0.0." + i + ":1"));
+        members.add(new Settings.Member(nodePrefix + i, "a", "10.0.0." + i + ":1"));
       }
     }
     return members;
--- a/src/test/java/gladeknot/standin/FakeStateStore.java
+++ b/src/test/java/gladeknot/standin/FakeStateStore.java
@@ -2,6 +2,8 @@
 
 import gladeknot.json.Json;
 import java.io.IOException;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,6 +11,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /** In-memory state service that serves the protocol; {@link #advance} sets its time. */
 public final class FakeStateStore {
@@ -28,6 +31,10 @@
   private static final int MAX_PAGE_KEYS = 1000;
   private static final int MAX_PAGE_BYTES = 512 * 1024;
   private static final int KEPT_CHANGES = 10_000;
+  private static final int MAX_KEY_BYTES = 200;
+
+  /** Reason of a refusal that no correct caller meets. */
+  static final String MALFORMED_KEY = "malformed key";
 
   private record Value(Map<String, Object> data, long revision, long lease) {}
 
@@ -61,7 +68,9 @@
   private int maxWrites = DEFAULT_MAX_WRITES;
   private int maxValueBytes = DEFAULT_MAX_VALUE_BYTES;
   private final List<ChangeListener> changeListeners = new ArrayList<>();
+  private Predicate<String> refusedKeys = key -> false;
   private int rejectedForSize;
+  private int rejectedForKeys;
   private int commits;
 
   /**
@@ -77,6 +86,16 @@
     maxValueBytes = most;
   }
 
+  /** Refuses all transactions that write certain keys, as if these were malformed. */
+  public void refuseKeys(Predicate<String> condition) {
+    refusedKeys = condition;
+  }
+
+  /** Returns the number of transactions that were rejected because of a key. */
+  public int rejectedForKeys() {
+    return rejectedForKeys;
+  }
+
   /** Adds a listener of changes; initially there is none. */
   void addChangeListener(ChangeListener listener) {
     changeListeners.add(listener);
@@ -176,7 +195,7 @@
 
   /** Serves a request; a watch is answered at once. */
   public ServiceResponse serve(String method, String uri, byte[] body) throws IOException {
-    String path = uri.contains("?") ? uri.substring(0, uri.indexOf('?')) : uri;
+    String path = decode(uri.contains("?") ? uri.substring(0, uri.indexOf('?')) : uri);
     if (path.equals("/kv")) {
       return list(query(uri));
     }
@@ -227,12 +246,37 @@
     Map<String, String> query = new HashMap<>();
     if (uri.contains("?")) {
       for (String pair : uri.substring(uri.indexOf('?') + 1).split("&")) {
-        query.put(pair.substring(0, pair.indexOf('=')), pair.substring(pair.indexOf('=') + 1));
+        int separator = pair.indexOf('=');
+        query.put(pair.substring(0, separator), decode(pair.substring(separator + 1)));
       }
     }
     return query;
   }
 
+  private static String decode(String text) {
+    return URLDecoder.decode(text, StandardCharsets.UTF_8);
+  }
+
+  /** Returns whether a key has the form that the protocol demands. */
+  private static boolean isWellFormed(String key) {
+    int bytes = key == null ? 0 : key.getBytes(StandardCharsets.UTF_8).length;
+    return bytes >= 1
+        && bytes <= MAX_KEY_BYTES
+        && key.codePoints().noneMatch(c -> Character.isWhitespace(c) || Character.isSpaceChar(c));
+  }
+
+  /** Returns the keys that a transaction writes, deletes or has conditions on. */
+  private static List<String> keysOf(Map<String, Object> transaction) {
+    List<String> keys = new ArrayList<>();
+    for (Map<String, Object> condition : Json.objects(transaction, "if")) {
+      keys.add(Json.text(condition, "path"));
+    }
+    for (Map<String, Object> write : Json.objects(transaction, "writes")) {
+      keys.add(Json.text(write, write.containsKey("write") ? "write" : "delete"));
+    }
+    return keys;
+  }
+
   private ServiceResponse list(Map<String, String> query) {
     int most =
         Math.min(MAX_PAGE_KEYS, Integer.parseInt(query.getOrDefault("most", "" + MAX_PAGE_KEYS)));
@@ -290,6 +334,14 @@
   }
 
   private ServiceResponse commit(Map<String, Object> transaction) {
+    if (!keysOf(transaction).stream().allMatch(FakeStateStore::isWellFormed)) {
+      rejectedForKeys++;
+      return new ServiceResponse(400, Json.of("error", MALFORMED_KEY));
+    }
+    if (keysOf(transaction).stream().anyMatch(refusedKeys)) {
+      rejectedForKeys++;
+      return new ServiceResponse(400, Json.of("error", "refused key"));
+    }
     if (!fitsLimits(transaction)) {
       rejectedForSize++;
       return new ServiceResponse(400, Json.of("error", "too many operations"));
--- a/src/test/java/gladeknot/standin/HeartbeatSender.java
+++ b/src/test/java/gladeknot/standin/HeartbeatSender.java
@@ -151,7 +151,7 @@
         machine.worker().handleResponse(body, pending.sentMicros, pending.incarnation);
       }
     } else if (status == 421 && owner != null) {
-      int target = Integer.parseInt(owner.substring("node-".length()));
+      int target = Integer.parseInt(owner.substring(owner.lastIndexOf('-') + 1));
       if (target == machine.controller()) {
         machine.tryNextController(controllers.count(), clock.now());
       } else {
--- a/src/test/java/gladeknot/standin/SimulatedNetwork.java
+++ b/src/test/java/gladeknot/standin/SimulatedNetwork.java
@@ -7,6 +7,7 @@
 import gladeknot.outbox.Outbox;
 import gladeknot.standin.LinkFaults.Direction;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -234,7 +235,11 @@
   private Optional<ServiceResponse> serveByState(int node, Outbox.Call call) throws IOException {
     if (isCommit(call) && !(faults.hasStateOutage() && writesNothing(call.body()))) {
       byte[] transaction = checkedTransaction(node, call.body());
-      return Optional.of(state.serve(call.method(), call.path(), transaction));
+      ServiceResponse response = state.serve(call.method(), call.path(), transaction);
+      if (FakeStateStore.MALFORMED_KEY.equals(response.body().get("error"))) {
+        violations.add("malformed call: " + new String(transaction, StandardCharsets.UTF_8));
+      }
+      return Optional.of(response);
     }
     return faults.hasStateOutage()
         ? unavailable()
--- a/src/test/java/gladeknot/standin/StoredQuotaChecker.java
+++ b/src/test/java/gladeknot/standin/StoredQuotaChecker.java
@@ -1,6 +1,8 @@
 package gladeknot.standin;
 
+import gladeknot.json.FieldEscaper;
 import gladeknot.settings.Settings;
+import gladeknot.state.NamedKeys;
 import gladeknot.tasks.RecordedAttempts;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,11 +18,12 @@
  * until then.
  */
 final class StoredQuotaChecker implements FakeStateStore.ChangeListener {
-  private static final String TEAM_PREFIX = "g/team/";
+  private static final NamedKeys TEAM_KEYS = new NamedKeys("team");
   private static final String SEGMENT_PREFIX = "g/sl/";
   private static final int TEAM_FIELD = 0;
   private static final int CPUS_FIELD = 1;
   private static final int GPUS_FIELD = 2;
+  private static final int NAME_FORM_FIELD = 8;
 
   private final TeamLimits limits;
   private final int shards;
@@ -29,7 +32,7 @@
   /** Resources that the attempts of each segment use, by segment and team. */
   private final Map<String, Map<String, ResourceUse>> usageBySegment = new TreeMap<>();
 
-  private final Map<String, List<ResourceUse>> sharesByTeam = new HashMap<>();
+  private final Map<String, List<ResourceUse>> sharesByKey = new HashMap<>();
   private boolean changed;
 
   StoredQuotaChecker(TeamLimits limits, int shards, Consumer<String> violations) {
@@ -43,8 +46,8 @@
     if (key.startsWith(SEGMENT_PREFIX)) {
       usageBySegment.put(key, value == null ? Map.of() : usage(value));
       changed = true;
-    } else if (key.startsWith(TEAM_PREFIX) && value != null) {
-      sharesChanged(key.substring(TEAM_PREFIX.length()), shares(value));
+    } else if (key.startsWith(TEAM_KEYS.commonPrefix()) && value != null) {
+      sharesChanged(key, shares(value));
       changed = true;
     }
   }
@@ -59,11 +62,16 @@
               new ResourceUse(
                   Long.parseLong(fields[CPUS_FIELD]), Long.parseLong(fields[GPUS_FIELD]));
           int attempts = RecordedAttempts.of(job, record).size();
-          usage.merge(fields[TEAM_FIELD], task.times(attempts), ResourceUse::plus);
+          usage.merge(team(fields), task.times(attempts), ResourceUse::plus);
         });
     return usage;
   }
 
+  private static String team(String[] fields) {
+    boolean escaped = fields.length > NAME_FORM_FIELD && fields[NAME_FORM_FIELD].equals("e");
+    return escaped ? FieldEscaper.unescape(fields[TEAM_FIELD]) : fields[TEAM_FIELD];
+  }
+
   private List<ResourceUse> shares(Map<String, Object> record) {
     List<ResourceUse> shares = new ArrayList<>();
     for (int shard = 0; shard < shards; shard++) {
@@ -84,17 +92,18 @@
    * Reports shares that add up to more than the team's limit. After a limit was lowered, the sum
    * may exceed it for a while but must decrease with each change.
    */
-  private void sharesChanged(String team, List<ResourceUse> shares) {
-    List<ResourceUse> before = sharesByTeam.put(team, shares);
+  private void sharesChanged(String key, List<ResourceUse> shares) {
+    List<ResourceUse> before = sharesByKey.put(key, shares);
     ResourceUse sum = sum(shares);
     boolean decreased =
         before != null
             && sum.cpus() <= sum(before).cpus()
             && sum.gpus() <= sum(before).gpus()
             && !sum.equals(sum(before));
-    for (Settings.Team limitedTeam : limits.teams()) {
-      if (limitedTeam.name().equals(team) && sum.exceeds(limitedTeam) && !decreased) {
-        violations.accept("quota: shares of " + team + " add up to " + sum);
+    for (Settings.Team team : limits.teams()) {
+      boolean isOfTeam = TEAM_KEYS.key(team.name()).equals(key);
+      if (isOfTeam && sum.exceeds(team) && !decreased) {
+        violations.accept("quota: shares of " + team.name() + " add up to " + sum);
       }
     }
   }
@@ -147,7 +156,7 @@
   }
 
   private ResourceUse share(String team, int shard) {
-    List<ResourceUse> shares = sharesByTeam.get(team);
+    List<ResourceUse> shares = sharesByKey.get(TEAM_KEYS.key(team));
     return shares == null ? ResourceUse.NONE : shares.get(shard);
   }
 }
--- a/src/test/java/gladeknot/tasks/SliceTest.java
+++ b/src/test/java/gladeknot/tasks/SliceTest.java
@@ -54,6 +54,20 @@
     assertEquals(slice.encode(), read.encode().replace("|" + read.attemptCounter() + "|", "|1|"));
   }
 
+  /** A team called "a|b" once made its slices unreadable. */
+  @Test
+  void teamNameMayContainTheSeparator() throws MalformedJobException {
+    for (String team : List.of("a|b", "|", "50%|", "%7C", "50%")) {
+      Map<String, Object> job = TestJobs.job("req-1", "array", 3);
+      job.put("owner", team);
+      Slice slice = new Slice(LAYOUT, false, 1, 3, "req-1");
+      slice.setResources(JobSpecCodec.decode(job));
+      slice.assigned().set(0, 3);
+      assertEquals(team, decoded(slice.encode()).team());
+      assertEquals(slice.assigned(), SliceRecord.assignedIn(slice.encode()));
+    }
+  }
+
   /**
    * While their jobs are active, done slices outnumber the others. Their records once filled a
    * segment.
--- a/src/test/java/gladeknot/workers/WorkerRecordCodecTest.java
+++ b/src/test/java/gladeknot/workers/WorkerRecordCodecTest.java
@@ -15,4 +15,14 @@
     assertEquals("0|g8|b|o|7|x", WorkerRecordCodec.encode(terminating));
     assertEquals(terminating, WorkerRecordCodec.decode("0|g8|b|o|7|x"));
   }
+
+  /** A zone called "a|b" once made the records of its machines unreadable. */
+  @Test
+  void namesMayContainTheSeparator() {
+    WorkerRecord separators = new WorkerRecord(1, "g%7C8|", "a|b", true, 7, false);
+    assertEquals(separators, WorkerRecordCodec.decode(WorkerRecordCodec.encode(separators)));
+    WorkerRecord percent = new WorkerRecord(1, "g%7C8", "50%", true, 7, true);
+    assertEquals("1|g%7C8|50%|s|7|x", WorkerRecordCodec.encode(percent));
+    assertEquals(percent, WorkerRecordCodec.decode(WorkerRecordCodec.encode(percent)));
+  }
 }
