--- a/src/main/java/gladeknot/app/ControllerComponents.java
+++ b/src/main/java/gladeknot/app/ControllerComponents.java
@@ -114,7 +114,16 @@
 
   private TaskLifecycle newLifecycle(Settings settings, TaskTracer tracer) {
     return new TaskLifecycle(
-        settings, membership, jobs, slices, workers, committer, outbox, catalog::cacheGb, tracer);
+        settings,
+        membership,
+        jobs,
+        slices,
+        workers,
+        committer,
+        outbox,
+        catalog::cacheGb,
+        catalog::onRefused,
+        tracer);
   }
 
   private Scheduler newScheduler(Settings settings, Policy policy) {
--- a/src/main/java/gladeknot/fleet/CatalogRefresh.java
+++ b/src/main/java/gladeknot/fleet/CatalogRefresh.java
@@ -12,6 +12,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(CatalogRefresh.class);
   private static final long REFRESH_INTERVAL_MICROS = 60_000_000;
   private static final long RETRY_INTERVAL_MICROS = 1_000_000;
+  private static final long EXCLUSION_CHECK_INTERVAL_MICROS = 1_000_000;
 
   private final InstanceCatalog catalog;
   private final CloudClient cloud;
@@ -19,6 +20,7 @@
   private final TaskLifecycle lifecycle;
   private boolean requestInFlight;
   private long nextRefreshMicros;
+  private long nextExclusionCheckMicros;
 
   CatalogRefresh(
       InstanceCatalog catalog, CloudClient cloud, FleetClock clock, TaskLifecycle lifecycle) {
@@ -30,6 +32,10 @@
 
   /** Requests the machine types from the cloud if a refresh is due and none is in flight. */
   void tick() {
+    if (clock.nowMicros() >= nextExclusionCheckMicros) {
+      nextExclusionCheckMicros = clock.nowMicros() + EXCLUSION_CHECK_INTERVAL_MICROS;
+      catalog.tick(clock.nowMicros());
+    }
     if (!requestInFlight && clock.nowMicros() >= nextRefreshMicros) {
       requestInFlight = cloud.listMachineTypes(this::onTypes);
     }
@@ -43,7 +49,7 @@
     }
     nextRefreshMicros = clock.nowMicros() + REFRESH_INTERVAL_MICROS;
     boolean first = !catalog.isKnown();
-    catalog.update(types.get());
+    catalog.update(types.get(), clock.nowMicros());
     if (first) {
       LOG.info("machine types listed types={}", catalog.types());
     }
--- a/src/main/java/gladeknot/fleet/CloudCodec.java
+++ b/src/main/java/gladeknot/fleet/CloudCodec.java
@@ -3,6 +3,7 @@
 import com.google.common.escape.Escaper;
 import com.google.common.net.PercentEscaper;
 import gladeknot.json.Json;
+import gladeknot.json.ResourceUnits;
 import gladeknot.outbox.Outbox;
 import gladeknot.workers.MachineType;
 import java.util.ArrayList;
@@ -31,7 +32,6 @@
   private static final Escaper NAME_ESCAPER = new PercentEscaper("-._~", false);
 
   private static final String FAILED_PHASE = "failed";
-  private static final double THOUSANDTHS = 1000;
   private static final double MICROS_PER_SECOND = 1e6;
 
   /** Fetch rate assumed for a listed type without one. */
@@ -132,9 +132,9 @@
   private static MachineType machineType(Map<String, Object> type) {
     return new MachineType(
         Json.text(type, "label"),
-        Math.round(Json.doubleValue(type, "cores", 0) * THOUSANDTHS),
-        Math.round(Json.doubleValue(type, "accelerators", 0) * THOUSANDTHS),
-        Math.round(Json.doubleValue(type, "memoryGb", 0) * THOUSANDTHS),
+        ResourceUnits.available(type, "cores"),
+        ResourceUnits.available(type, "accelerators"),
+        ResourceUnits.available(type, "memoryGb"),
         Json.doubleValue(type, "cacheGb", 0),
         Json.doubleValue(type, "fetchGbPerS", DEFAULT_FETCH_GB_PER_SECOND),
         Json.doubleValue(type, "rate", 0),
--- a/src/main/java/gladeknot/fleet/Forecast.java
+++ b/src/main/java/gladeknot/fleet/Forecast.java
@@ -23,7 +23,7 @@
 
   /**
    * A task that runs on a machine from {@code fromMicros} to {@code toMicros}, with the resources
-   * that it takes, in thousandths.
+   * that it takes, in billionths.
    */
   record RunningTask(
       JobSpec.Priority priority,
--- a/src/main/java/gladeknot/fleet/InstanceCatalog.java
+++ b/src/main/java/gladeknot/fleet/InstanceCatalog.java
@@ -2,8 +2,11 @@
 
 import gladeknot.jobs.JobSpec;
 import gladeknot.workers.MachineType;
+import gladeknot.workers.RefusedSizes;
+import gladeknot.workers.TaskSize;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,11 +20,56 @@
 public final class InstanceCatalog {
   private static final double MICROS_PER_SECOND = 1e6;
 
+  /** Time for which the first refusal of a task excludes a type for its size, in microseconds. */
+  private static final long REFUSED_SIZE_MICROS = 60_000_000;
+
+  /** Maximum number of doublings; the longest exclusion is 16 minutes. */
+  private static final int MAX_REFUSED_SIZE_DOUBLINGS = 4;
+
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final Map<String, InstanceOffering> offerings = new LinkedHashMap<>();
 
+  /** Sizes of tasks that machines have refused, by type. */
+  private final Map<String, RefusedSizes> refusedSizes = new HashMap<>();
+
+  private List<MachineType> listedTypes = List.of();
+  private boolean excludesSizes;
+
   /** Replaces the types by a new list from the cloud. Offerings keep their backoff. */
-  void update(List<MachineType> listed) {
+  void update(List<MachineType> listed, long nowMicros) {
+    listedTypes = listed;
+    excludesSizes = false;
+    List<MachineType> current = listed.stream().map(type -> refusing(type, nowMicros)).toList();
+    replaceTypes(current);
+  }
+
+  private MachineType refusing(MachineType listed, long nowMicros) {
+    RefusedSizes refused = refusedSizes.get(listed.name());
+    if (refused == null) {
+      return listed;
+    }
+    Set<TaskSize> excluded = refused.excluded(nowMicros);
+    excludesSizes |= !excluded.isEmpty();
+    return listed.refusing(excluded);
+  }
+
+  /** Records that a machine of a type has refused a task that should fit. */
+  public void onRefused(String typeName, TaskSize size, long nowMicros) {
+    refusedSizes
+        .computeIfAbsent(
+            typeName, name -> new RefusedSizes(REFUSED_SIZE_MICROS, MAX_REFUSED_SIZE_DOUBLINGS))
+        .record(size, nowMicros);
+    update(listedTypes, nowMicros);
+  }
+
+  /** Admits the sizes of tasks whose exclusion has ended. */
+  void tick(long nowMicros) {
+    if (excludesSizes) {
+      update(listedTypes, nowMicros);
+    }
+  }
+
+  private void replaceTypes(List<MachineType> listed) {
     types.clear();
     Map<String, InstanceOffering> previous = new LinkedHashMap<>(offerings);
     offerings.clear();
@@ -88,10 +136,12 @@
     return false;
   }
 
-  /** Returns whether a task of a job fits a machine of any type and zone that the job allows. */
+  /**
+   * Returns whether a task of a job fits an empty machine of any type and zone that the job allows.
+   */
   public boolean fitsSomeType(JobSpec spec) {
     for (MachineType type : types.values()) {
-      if (type.mayRun(spec) && (spec.zone() == null || type.zones().contains(spec.zone()))) {
+      if (type.allows(spec) && (spec.zone() == null || type.zones().contains(spec.zone()))) {
         return true;
       }
     }
--- a/src/main/java/gladeknot/fleet/MachineTimeline.java
+++ b/src/main/java/gladeknot/fleet/MachineTimeline.java
@@ -9,7 +9,7 @@
 /** The free resources of a machine over time, as running tasks end and planned tasks start. */
 final class MachineTimeline {
   /**
-   * Resources, in thousandths, that become free at a time or, if negative, are taken from that time
+   * Resources, in billionths, that become free at a time or, if negative, are taken from that time
    * on.
    */
   private record ResourceChange(long atMicros, long cpus, long gpus, long memory) {}
--- a/src/main/java/gladeknot/fleet/WorkerRegistration.java
+++ b/src/main/java/gladeknot/fleet/WorkerRegistration.java
@@ -75,7 +75,7 @@
         });
   }
 
-  /** Returns the CPUs, in thousandths, of each shard's registered machines without GPUs. */
+  /** Returns the CPUs, in billionths, of each shard's registered machines without GPUs. */
   private long[] cpusByShard() {
     long[] cpus = new long[membership.shardCount()];
     for (Worker worker : workers.all()) {
--- a/src/main/java/gladeknot/jobs/JobSpec.java
+++ b/src/main/java/gladeknot/jobs/JobSpec.java
@@ -5,7 +5,7 @@
 import java.util.regex.Pattern;
 
 /**
- * A job as submitted by its user. CPUs, GPUs and memory are per task, in thousandths of a core, an
+ * A job as submitted by its user. CPUs, GPUs and memory are per task, in billionths of a core, an
  * accelerator and a gigabyte. Durations are in microseconds.
  *
  * @param id the id chosen by the user; a repeated submission with the same id is the same job
--- a/src/main/java/gladeknot/jobs/JobSpecCodec.java
+++ b/src/main/java/gladeknot/jobs/JobSpecCodec.java
@@ -1,6 +1,8 @@
 package gladeknot.jobs;
 
 import gladeknot.json.Json;
+import gladeknot.json.ResourceUnits;
+import java.math.BigDecimal;
 import java.util.List;
 import java.util.Map;
 
@@ -40,9 +42,8 @@
   private static final String PRIORITY_NORMAL = "normal";
   private static final String PRIORITY_IDLE = "idle";
 
-  private static final double THOUSANDTHS_PER_UNIT = 1000.0;
   private static final double MICROS_PER_SECOND = 1e6;
-  private static final double MAX_AMOUNT = 1e9;
+  private static final BigDecimal MAX_AMOUNT = BigDecimal.valueOf(1_000_000_000);
   private static final int MAX_TEXT_LENGTH = 200;
 
   private final Map<String, Object> fields;
@@ -73,11 +74,11 @@
         shape,
         priority,
         tasks,
-        Math.max(1, thousandths(CPUS, true)),
-        thousandths(GPUS, false),
-        Math.max(1, thousandths(MEMORY, true)),
+        needed(CPUS, true),
+        needed(GPUS, false),
+        needed(MEMORY, true),
         text(IMAGE),
-        amount(IMAGE_GB, false),
+        amount(IMAGE_GB),
         machineTypes(),
         optionalText(ZONE),
         flag(COLOCATED),
@@ -100,9 +101,9 @@
             SHAPE, shapeWord(spec.shape()),
             PRIORITY, priorityWord(spec.priority()),
             TASKS, spec.tasks(),
-            CPUS, spec.cpus() / THOUSANDTHS_PER_UNIT,
-            GPUS, spec.gpus() / THOUSANDTHS_PER_UNIT,
-            MEMORY, spec.memory() / THOUSANDTHS_PER_UNIT,
+            CPUS, ResourceUnits.toDecimal(spec.cpus()),
+            GPUS, ResourceUnits.toDecimal(spec.gpus()),
+            MEMORY, ResourceUnits.toDecimal(spec.memory()),
             IMAGE, spec.image(),
             IMAGE_GB, spec.imageGb(),
             MACHINE_TYPES, spec.machineTypes(),
@@ -235,25 +236,33 @@
     return value;
   }
 
-  private long thousandths(String name, boolean aboveZero) throws MalformedJobException {
-    return Math.round(amount(name, aboveZero) * THOUSANDTHS_PER_UNIT);
+  /** Returns what a task needs, in billionths. */
+  private long needed(String name, boolean aboveZero) throws MalformedJobException {
+    checkAmount(name, aboveZero);
+    return ResourceUnits.needed(Json.decimal(fields, name));
   }
 
   /** Returns a duration field, which is given in seconds, in microseconds. */
   private long micros(String name) throws MalformedJobException {
-    return Math.round(amount(name, false) * MICROS_PER_SECOND);
+    return Math.round(amount(name) * MICROS_PER_SECOND);
   }
 
   private static double seconds(long micros) {
     return micros / MICROS_PER_SECOND;
   }
 
-  private double amount(String name, boolean aboveZero) throws MalformedJobException {
-    double value = Json.doubleValue(fields, name, Double.NaN);
-    if (!(value >= 0) || value > MAX_AMOUNT || (aboveZero && value <= 0)) {
+  /** Returns an amount of 0 or more for which a rounding error does no harm. */
+  private double amount(String name) throws MalformedJobException {
+    checkAmount(name, false);
+    return Json.doubleValue(fields, name, Double.NaN);
+  }
+
+  private void checkAmount(String name, boolean aboveZero) throws MalformedJobException {
+    BigDecimal value = Json.decimal(fields, name);
+    int minSign = aboveZero ? 1 : 0;
+    if (value == null || value.signum() < minSign || value.compareTo(MAX_AMOUNT) > 0) {
       throw malformed(name, "must be a number " + (aboveZero ? "above 0" : "of 0 or more"));
     }
-    return value;
   }
 
   private static MalformedJobException malformed(String name, String fault) {
--- a/src/main/java/gladeknot/jobs/SubmissionValidator.java
+++ b/src/main/java/gladeknot/jobs/SubmissionValidator.java
@@ -1,5 +1,6 @@
 package gladeknot.jobs;
 
+import com.google.common.math.LongMath;
 import gladeknot.jobs.SubmissionOutcome.Accepted;
 import gladeknot.jobs.SubmissionOutcome.AlreadyAccepted;
 import gladeknot.jobs.SubmissionOutcome.NeedsLookup;
@@ -79,7 +80,9 @@
       return Optional.of(SubmissionErrors.unknownTeam(spec.team()));
     }
     long tasksAtOnce = spec.unsplit() ? spec.tasks() : 1;
-    if (!team.allows(spec.cpus() * tasksAtOnce, spec.gpus() * tasksAtOnce)) {
+    if (!team.allows(
+        LongMath.saturatedMultiply(spec.cpus(), tasksAtOnce),
+        LongMath.saturatedMultiply(spec.gpus(), tasksAtOnce))) {
       return Optional.of(SubmissionErrors.exceedsTeamLimit(spec.team()));
     }
     return Optional.empty();
--- a/src/main/java/gladeknot/json/Json.java
+++ b/src/main/java/gladeknot/json/Json.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.math.BigDecimal;
+import java.math.BigInteger;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +16,9 @@
   /** Maximum nesting of objects and lists; no message of the protocols has more than a few. */
   private static final int MAX_NESTING_DEPTH = 32;
 
-  private static final JSON JR = JSON.builder(jsonFactory()).build();
+  /** Reads numbers with a fraction exactly: amounts must not be rounded. */
+  private static final JSON JR =
+      JSON.builder(jsonFactory()).enable(JSON.Feature.USE_BIG_DECIMAL_FOR_FLOATS).build();
 
   private Json() {}
 
@@ -76,7 +80,27 @@
    * no number.
    */
   public static long longValue(Map<String, Object> map, String name, long defaultValue) {
-    return map.get(name) instanceof Number number ? number.longValue() : defaultValue;
+    Object value = map.get(name);
+    if (value instanceof BigDecimal decimal) {
+      return (long) decimal.doubleValue();
+    }
+    return value instanceof Number number ? number.longValue() : defaultValue;
+  }
+
+  /** Returns the exact number under a name, or null if there is no finite number. */
+  public static BigDecimal decimal(Map<String, Object> map, String name) {
+    Object value = map.get(name);
+    if (value instanceof BigDecimal decimal) {
+      return decimal;
+    }
+    if (value instanceof BigInteger integer) {
+      return new BigDecimal(integer);
+    }
+    if (value instanceof Integer || value instanceof Long) {
+      return BigDecimal.valueOf(((Number) value).longValue());
+    }
+    boolean finite = value instanceof Double number && Double.isFinite(number);
+    return finite ? BigDecimal.valueOf((Double) value) : null;
   }
 
   /** Returns the number under a name, or {@code defaultValue} if there is no number. */
--- a/src/main/java/gladeknot/lifecycle/AttemptTracker.java
+++ b/src/main/java/gladeknot/lifecycle/AttemptTracker.java
@@ -11,6 +11,7 @@
 import gladeknot.tracing.TaskTracer;
 import gladeknot.workers.Heartbeat;
 import gladeknot.workers.TaskPhase;
+import gladeknot.workers.TaskSize;
 import gladeknot.workers.Worker;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,6 +23,9 @@
 final class AttemptTracker {
   private static final Logger LOG = LoggerFactory.getLogger(AttemptTracker.class);
 
+  /** Number of refusals by one machine after which its type is taken to be too small. */
+  private static final int MAX_REFUSALS = 3;
+
   /** Quarantine of a worker that has refused a start, in microseconds. */
   private static final long REFUSED_START_QUARANTINE_MICROS = 2_000_000;
 
@@ -46,6 +50,7 @@
   private final TransactionCommitter committer;
   private final KillDispatcher killDispatcher;
   private final ImageCacheSizes imageCacheSizes;
+  private final RefusedStartListener refusedStarts;
   private final TaskTracer tracer;
   private final RuntimeEstimates estimates;
   private final SchedulingRequests scheduling;
@@ -57,6 +62,7 @@
       TransactionCommitter committer,
       KillDispatcher killDispatcher,
       ImageCacheSizes imageCacheSizes,
+      RefusedStartListener refusedStarts,
       TaskTracer tracer,
       RuntimeEstimates estimates,
       SchedulingRequests scheduling) {
@@ -65,6 +71,7 @@
     this.committer = committer;
     this.killDispatcher = killDispatcher;
     this.imageCacheSizes = imageCacheSizes;
+    this.refusedStarts = refusedStarts;
     this.tracer = tracer;
     this.estimates = estimates;
     this.scheduling = scheduling;
@@ -150,7 +157,8 @@
     switch (status.cause()) {
       case SUCCEEDED -> onSucceeded(worker, attempt);
       case FAILED -> onFailed(worker, slice);
-      case INSUFFICIENT_RESOURCES, TASK_ALREADY_PRESENT ->
+      case INSUFFICIENT_RESOURCES -> onRefused(worker, attempt);
+      case TASK_ALREADY_PRESENT ->
           worker.quarantineUntil(nowMicros + REFUSED_START_QUARANTINE_MICROS);
       case UNKNOWN_TASK -> slice.backOffUntil(nowMicros + UNKNOWN_TASK_BACKOFF_MICROS);
       case OTHER -> {}
@@ -158,6 +166,32 @@
     close(attempt);
   }
 
+  /**
+   * Handles a task that a worker has refused for lack of resources. The worker may still hold what
+   * another task used until now, so the task is tried there again later. If the worker has no other
+   * task, or refuses the task again and again, other machines of its type will refuse it too.
+   */
+  private void onRefused(Worker worker, Attempt attempt) {
+    worker.quarantineUntil(nowMicros + REFUSED_START_QUARANTINE_MICROS);
+    Slice slice = attempt.slice();
+    TaskSize size = new TaskSize(slice.cpus(), slice.gpus(), slice.memory());
+    int refusals = worker.recordRefusal(size, nowMicros);
+    if (refusals >= MAX_REFUSALS || !hasOtherTask(worker, attempt)) {
+      LOG.warn("machine type refuses task type={} job={}", worker.type(), slice.job());
+      refusedStarts.onRefused(worker.type(), size, nowMicros);
+    }
+  }
+
+  /** Returns whether a worker may have another task than a refused one. */
+  private static boolean hasOtherTask(Worker worker, Attempt refused) {
+    boolean isListed =
+        worker.heartbeat() != null
+            && worker.heartbeat().tasks().stream().anyMatch(task -> !task.ended());
+    return isListed
+        || worker.attempts().values().stream()
+            .anyMatch(attempt -> attempt != refused && !attempt.closed());
+  }
+
   private void onSucceeded(Worker worker, Attempt attempt) {
     Slice slice = attempt.slice();
     attempt.markSucceeded();
--- a/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
+++ b/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
@@ -61,6 +61,7 @@
       TransactionCommitter committer,
       Outbox outbox,
       ImageCacheSizes imageCacheSizes,
+      RefusedStartListener refusedStarts,
       TaskTracer tracer) {
     this.membership = membership;
     this.jobs = jobs;
@@ -76,6 +77,7 @@
             committer,
             killDispatcher,
             imageCacheSizes,
+            refusedStarts,
             tracer,
             estimates,
             scheduling);
--- a/src/main/java/gladeknot/membership/StorageFormat.java
+++ b/src/main/java/gladeknot/membership/StorageFormat.java
@@ -34,8 +34,11 @@
   /** First format in which final job records may be moved to the archive. */
   private static final int ARCHIVE_FORMAT = 3;
 
+  /** First format in which quota shares need not be whole thousandths. */
+  private static final int EXACT_SHARES_FORMAT = 4;
+
   /** Format that this version announces. */
-  static final int ANNOUNCED = ARCHIVE_FORMAT;
+  static final int ANNOUNCED = EXACT_SHARES_FORMAT;
 
   /** Interval between two attempts to commit the storage format, in microseconds. */
   private static final long COMMIT_INTERVAL_MICROS = 1_000_000;
@@ -136,6 +139,14 @@
     return formatInForce.format() >= ARCHIVE_FORMAT;
   }
 
+  /**
+   * Returns whether all members read quota shares that are no whole thousandths, and keep them when
+   * they change a record.
+   */
+  public boolean allowsExactShares() {
+    return formatInForce.format() >= EXACT_SHARES_FORMAT;
+  }
+
   /** Returns the number of segments that each of the first version's segments is split into. */
   public int segmentSplit() {
     return formatInForce.segmentSplit();
--- a/src/main/java/gladeknot/quota/DeficitAnnouncer.java
+++ b/src/main/java/gladeknot/quota/DeficitAnnouncer.java
@@ -1,5 +1,6 @@
 package gladeknot.quota;
 
+import gladeknot.json.ResourceUnits;
 import gladeknot.membership.Membership;
 import gladeknot.outbox.Outbox;
 import gladeknot.peer.PeerMessage;
@@ -43,7 +44,11 @@
     List<PeerMessage.QuotaDeficit> announcement = new ArrayList<>();
     deficitsByTeam.forEach(
         (team, amount) ->
-            announcement.add(new PeerMessage.QuotaDeficit(team, amount.cpus(), amount.gpus())));
+            announcement.add(
+                new PeerMessage.QuotaDeficit(
+                    team,
+                    ResourceUnits.thousandthsRoundedUp(amount.cpus()),
+                    ResourceUnits.thousandthsRoundedUp(amount.gpus()))));
     outbox.sendToPeers(PeerMessage.ofDeficits(node, shard, membership.term(shard), announcement));
   }
 }
--- a/src/main/java/gladeknot/quota/QuotaAllocator.java
+++ b/src/main/java/gladeknot/quota/QuotaAllocator.java
@@ -4,6 +4,7 @@
 import gladeknot.commit.TransactionCommitter;
 import gladeknot.connectivity.ControlAction;
 import gladeknot.jobs.JobSpec;
+import gladeknot.json.ResourceUnits;
 import gladeknot.membership.Membership;
 import gladeknot.outbox.Outbox;
 import gladeknot.peer.PeerMessage;
@@ -158,12 +159,17 @@
     }
     Map<String, ResourceAmount> deficitsByTeam = new HashMap<>();
     for (PeerMessage.QuotaDeficit deficit : message.deficits()) {
-      deficitsByTeam.put(deficit.team(), new ResourceAmount(deficit.cpus(), deficit.gpus()));
+      deficitsByTeam.put(deficit.team(), deficitAmount(deficit));
     }
     deficits.replace(message.shard(), deficitsByTeam, nowMicros);
     nextMicros = 0;
   }
 
+  private static ResourceAmount deficitAmount(PeerMessage.QuotaDeficit deficit) {
+    return new ResourceAmount(
+        ResourceUnits.ofThousandths(deficit.cpus()), ResourceUnits.ofThousandths(deficit.gpus()));
+  }
+
   /** Announces deficits and changes shares, each when due. */
   public void tick(long currentMicros) {
     nowMicros = currentMicros;
@@ -212,21 +218,31 @@
     }
     int count = membership.shardCount();
     QuotaRecord record =
-        ledger.isIdle(team.name()) ? evenShares(team, count) : QuotaRecord.unproven(count);
+        ledger.isIdle(team.name())
+            ? evenShares(team, count, ledger.shareUnit())
+            : QuotaRecord.unproven(count);
     changes.create(team.name(), shard, record);
   }
 
-  private static QuotaRecord evenShares(Settings.Team team, int count) {
+  private static QuotaRecord evenShares(Settings.Team team, int count, long unit) {
     List<ResourceAmount> shares = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       shares.add(
           new ResourceAmount(
-              evenShare(team.cpusMax(), i, count), evenShare(team.gpusMax(), i, count)));
+              evenShare(team.cpusMax(), i, count, unit),
+              evenShare(team.gpusMax(), i, count, unit)));
     }
     return QuotaRecord.of(shares);
   }
 
-  private static long evenShare(long limit, int shard, int count) {
-    return limit * (shard + 1) / count - limit * shard / count;
+  /**
+   * Returns a shard's part of a limit in whole thousandths. What remains of the limit beyond whole
+   * thousandths belongs to the first shard, as far as the unit of shares allows.
+   */
+  private static long evenShare(long limit, int shard, int count, long unit) {
+    long thousandths = limit / ResourceUnits.PER_THOUSANDTH;
+    long remainder = limit % ResourceUnits.PER_THOUSANDTH / unit * unit;
+    long part = thousandths * (shard + 1) / count - thousandths * shard / count;
+    return ResourceUnits.ofThousandths(part) + (shard == 0 ? remainder : 0);
   }
 }
--- a/src/main/java/gladeknot/quota/QuotaLedger.java
+++ b/src/main/java/gladeknot/quota/QuotaLedger.java
@@ -1,5 +1,7 @@
 package gladeknot.quota;
 
+import com.google.common.math.LongMath;
+import gladeknot.json.ResourceUnits;
 import gladeknot.membership.Membership;
 import gladeknot.settings.Settings;
 import gladeknot.state.Entry;
@@ -19,10 +21,8 @@
  * then the shard's record holds the attempt, and the next owner of the shard may start it again.
  */
 final class QuotaLedger {
-  /**
-   * Share of a resource that the team's limits don't restrict; the sum over all shards fits a long.
-   */
-  private static final long UNLIMITED_SHARE = Long.MAX_VALUE >> 20;
+  /** Share of a resource that the team's limits don't restrict, in billionths. */
+  private static final long UNLIMITED_SHARE = ResourceUnits.MAX_AVAILABLE;
 
   private final Settings settings;
   private final StateStore stateStore;
@@ -57,6 +57,14 @@
     return Optional.of(decoded.record());
   }
 
+  /**
+   * Returns the unit, in billionths, of which all changes of shares must be multiples. Earlier
+   * versions, which may still change the records, write whole thousandths only.
+   */
+  long shareUnit() {
+    return membership.format().allowsExactShares() ? 1 : ResourceUnits.PER_THOUSANDTH;
+  }
+
   /** Returns the revision of a team's record in the watch cache; 0 if there is none. */
   long recordRevision(String team) {
     return stateStore.modRevision(QuotaRecordCodec.key(team));
@@ -98,8 +106,8 @@
     for (Slice slice : slices.inShard(shard)) {
       if (team.equals(slice.team())) {
         int count = taskCount.applyAsInt(slice);
-        cpus += slice.cpus() * count;
-        gpus += slice.gpus() * count;
+        cpus = LongMath.saturatedAdd(cpus, LongMath.saturatedMultiply(slice.cpus(), count));
+        gpus = LongMath.saturatedAdd(gpus, LongMath.saturatedMultiply(slice.gpus(), count));
       }
     }
     return new ResourceAmount(cpus, gpus);
--- a/src/main/java/gladeknot/quota/QuotaStatus.java
+++ b/src/main/java/gladeknot/quota/QuotaStatus.java
@@ -1,6 +1,7 @@
 package gladeknot.quota;
 
 import gladeknot.json.Json;
+import gladeknot.json.ResourceUnits;
 import gladeknot.membership.Membership;
 import gladeknot.settings.Settings;
 import java.util.ArrayList;
@@ -10,8 +11,6 @@
 
 /** The operators' view of quota: a row for each team and owned shard, and the event counts. */
 final class QuotaStatus {
-  private static final double MILLIS_PER_UNIT = 1000;
-
   private QuotaStatus() {}
 
   static Map<String, Object> of(
@@ -41,13 +40,13 @@
         "term",
         membership.term(shard),
         "shareCpus",
-        share.cpus() / MILLIS_PER_UNIT,
+        ResourceUnits.toDouble(share.cpus()),
         "usedCpus",
-        used.cpus() / MILLIS_PER_UNIT,
+        ResourceUnits.toDouble(used.cpus()),
         "shareGpus",
-        share.gpus() / MILLIS_PER_UNIT,
+        ResourceUnits.toDouble(share.gpus()),
         "usedGpus",
-        used.gpus() / MILLIS_PER_UNIT,
+        ResourceUnits.toDouble(used.gpus()),
         "revision",
         ledger.recordRevision(team));
   }
--- a/src/main/java/gladeknot/quota/QuotaTransfers.java
+++ b/src/main/java/gladeknot/quota/QuotaTransfers.java
@@ -69,7 +69,7 @@
       boolean unusable = deficits.contains(name, shard) && recipient < shard;
       ResourceAmount offered = unusable ? unreserved.atLeastZero() : surplus;
       ResourceAmount amount =
-          ShareCorrection.limitedPart(team, offered.min(deficits.of(name, recipient)));
+          ShareCorrection.limitedPart(team, transferable(offered, deficits.of(name, recipient)));
       if (amount.isPositive()) {
         transfer(name, shard, recipient, amount);
         return;
@@ -77,6 +77,12 @@
     }
   }
 
+  /** Returns the part of a deficit that an offer covers, in the unit of shares. */
+  private ResourceAmount transferable(ResourceAmount offered, ResourceAmount deficit) {
+    long unit = ledger.shareUnit();
+    return offered.roundedDown(unit).min(deficit.roundedUp(unit));
+  }
+
   /** Returns whether the known deficits of a shard are recent enough to act on. */
   private boolean isCurrent(int shard, long nowMicros) {
     return membership.ownedShards().contains(shard)
--- a/src/main/java/gladeknot/quota/ShareCorrection.java
+++ b/src/main/java/gladeknot/quota/ShareCorrection.java
@@ -44,7 +44,8 @@
     }
     String name = team.name();
     if (!record.isProven(shard)) {
-      ResourceAmount usage = limitedPart(team, ledger.usage(name, shard));
+      ResourceAmount usage =
+          limitedPart(team, ledger.usage(name, shard)).roundedUp(ledger.shareUnit());
       countAndLog("prove", name, shard, record, usage);
       changes.prove(name, shard, record.with(shard, usage));
       return true;
@@ -65,7 +66,9 @@
       return false;
     }
     String name = team.name();
-    ResourceAmount reduction = excess.min(ledger.unused(name, shard)).atLeastZero();
+    long unit = ledger.shareUnit();
+    ResourceAmount unused = ledger.unused(name, shard).roundedDown(unit);
+    ResourceAmount reduction = excess.roundedUp(unit).min(unused).atLeastZero();
     if (!reduction.isPositive()) {
       return false;
     }
@@ -82,7 +85,9 @@
       return false;
     }
     String name = team.name();
-    ResourceAmount increase = shortfall(name, shard).min(unassigned);
+    long unit = ledger.shareUnit();
+    ResourceAmount increase =
+        shortfall(name, shard).roundedUp(unit).min(unassigned.roundedDown(unit));
     if (!increase.isPositive()) {
       return false;
     }
--- a/src/main/java/gladeknot/scheduling/CandidateMachine.java
+++ b/src/main/java/gladeknot/scheduling/CandidateMachine.java
@@ -5,11 +5,12 @@
 import gladeknot.tasks.Slice;
 import gladeknot.workers.Heartbeat;
 import gladeknot.workers.MachineType;
+import gladeknot.workers.TaskSize;
 import gladeknot.workers.Worker;
 
 /**
  * A machine in one scheduling cycle, with its free resources and the resources that terminating
- * tasks still use. CPUs, GPUs and memory are in thousandths of a CPU, a GPU and a GB.
+ * tasks still use. CPUs, GPUs and memory are in billionths of a CPU, a GPU and a GB.
  */
 final class CandidateMachine {
   /** More tasks than can start on a machine in one cycle. */
@@ -17,6 +18,7 @@
 
   private final Worker worker;
   private final MachineType type;
+  private final long nowMicros;
   private long freeCpus;
   private long freeGpus;
   private long freeMemory;
@@ -27,9 +29,10 @@
   /** Number of tasks that may still start on the machine. */
   private int remainingStarts = MAX_STARTS;
 
-  private CandidateMachine(Worker worker, MachineType type) {
+  private CandidateMachine(Worker worker, MachineType type, long nowMicros) {
     this.worker = worker;
     this.type = type;
+    this.nowMicros = nowMicros;
     this.freeCpus = type.cpus();
     this.freeGpus = type.gpus();
     this.freeMemory = type.memory();
@@ -40,8 +43,8 @@
    * not free. If the last heartbeat reports a running attempt that is not known here, no CPU is
    * free.
    */
-  static CandidateMachine of(Worker worker, MachineType type) {
-    CandidateMachine machine = new CandidateMachine(worker, type);
+  static CandidateMachine of(Worker worker, MachineType type, long nowMicros) {
+    CandidateMachine machine = new CandidateMachine(worker, type, nowMicros);
     for (Attempt attempt : worker.attempts().values()) {
       if (!attempt.closed()) {
         Slice slice = attempt.slice();
@@ -60,6 +63,11 @@
     return machine;
   }
 
+  /** Creates a candidate that may be chosen for tasks that the machine has refused lately. */
+  static CandidateMachine of(Worker worker, MachineType type) {
+    return of(worker, type, Long.MAX_VALUE);
+  }
+
   private boolean runsUnknownTask() {
     for (Heartbeat.TaskStatus task : worker.heartbeat().tasks()) {
       Attempt attempt = worker.attempts().get(task.name());
@@ -117,7 +125,10 @@
 
   /** Returns the number of tasks of a job that fit into the free resources. */
   int capacityFor(JobSpec spec) {
-    if (freeCpus < spec.cpus() || freeGpus < spec.gpus() || freeMemory < spec.memory()) {
+    if (freeCpus < spec.cpus()
+        || freeGpus < spec.gpus()
+        || freeMemory < spec.memory()
+        || refuses(spec)) {
       return 0;
     }
     long count = Math.min(freeCpus / spec.cpus(), freeMemory / spec.memory());
@@ -131,7 +142,13 @@
   boolean fitsAfterTermination(JobSpec spec) {
     return cpusAfterTermination() >= spec.cpus()
         && gpusAfterTermination() >= spec.gpus()
-        && memoryAfterTermination() >= spec.memory();
+        && memoryAfterTermination() >= spec.memory()
+        && !refuses(spec);
+  }
+
+  /** Returns whether the machine has refused such a task lately. */
+  private boolean refuses(JobSpec spec) {
+    return worker.hasRefusals() && worker.refuses(TaskSize.of(spec), nowMicros);
   }
 
   long cpusAfterTermination() {
--- a/src/main/java/gladeknot/scheduling/Preemption.java
+++ b/src/main/java/gladeknot/scheduling/Preemption.java
@@ -3,6 +3,7 @@
 import gladeknot.jobs.Job;
 import gladeknot.jobs.JobRegistry;
 import gladeknot.jobs.JobSpec;
+import gladeknot.json.ResourceUnits;
 import gladeknot.policy.Policy;
 import gladeknot.tasks.Attempt;
 import gladeknot.tasks.TerminationGrace;
@@ -35,9 +36,6 @@
   /** Cost of a restart in seconds, even if the task has just started. */
   private static final double RESTART_LOSS_SECONDS = 1;
 
-  /** Thousandths per GPU. A task with one GPU loses twice as much as a task without GPUs. */
-  private static final double THOUSANDTHS_PER_GPU = 1000.0;
-
   private final Policy policy;
   private final JobRegistry jobs;
   private final TeamGuarantees guarantees;
@@ -139,7 +137,7 @@
             : ranSeconds;
     // A task with GPUs uses more of its machine, so more machine time is lost.
     return (lostSeconds + RESTART_LOSS_SECONDS)
-        * (1 + attempt.slice().gpus() / THOUSANDTHS_PER_GPU);
+        * (1 + ResourceUnits.toDouble(attempt.slice().gpus()));
   }
 
   /**
--- a/src/main/java/gladeknot/scheduling/RemainingQuota.java
+++ b/src/main/java/gladeknot/scheduling/RemainingQuota.java
@@ -31,13 +31,12 @@
 
   /** Returns the amount that {@code count} tasks of a job use. */
   static ResourceAmount amountOf(JobSpec spec, long count) {
-    return new ResourceAmount(spec.cpus() * count, spec.gpus() * count);
+    return ResourceAmount.of(spec.cpus(), spec.gpus()).times(count);
   }
 
   /** Returns an amount less what {@code count} tasks of a job use. */
   static ResourceAmount subtract(ResourceAmount amount, JobSpec spec, long count) {
-    return new ResourceAmount(
-        amount.cpus() - spec.cpus() * count, amount.gpus() - spec.gpus() * count);
+    return amount.minus(amountOf(spec, count));
   }
 
   /** Subtracts what {@code count} tasks of a job use, for the rest of the cycle. */
@@ -61,13 +60,8 @@
    * transfer some.
    */
   void reportDeficit(JobSpec spec, long count) {
-    ResourceAmount available = remainingOf(spec.team());
-    allocator.reportDeficit(
-        spec.team(),
-        shard,
-        new ResourceAmount(
-            Math.max(0, spec.cpus() * count - available.cpus()),
-            Math.max(0, spec.gpus() * count - available.gpus())));
+    ResourceAmount missing = amountOf(spec, count).minus(remainingOf(spec.team()));
+    allocator.reportDeficit(spec.team(), shard, missing.atLeastZero());
   }
 
   private ResourceAmount remainingOf(String team) {
--- a/src/main/java/gladeknot/scheduling/ResourceUsage.java
+++ b/src/main/java/gladeknot/scheduling/ResourceUsage.java
@@ -1,16 +1,17 @@
 package gladeknot.scheduling;
 
+import com.google.common.math.LongMath;
 import gladeknot.settings.Settings;
 
-/** Running sum of CPUs and GPUs, in thousandths. */
+/** Running sum of CPUs and GPUs, in billionths; it stays at the limits of a long. */
 final class ResourceUsage {
   private long cpus;
   private long gpus;
 
   /** Adds the resources of a number of equal tasks; a negative number subtracts them. */
   void add(long taskCpus, long taskGpus, long tasks) {
-    cpus += taskCpus * tasks;
-    gpus += taskGpus * tasks;
+    cpus = LongMath.saturatedAdd(cpus, LongMath.saturatedMultiply(taskCpus, tasks));
+    gpus = LongMath.saturatedAdd(gpus, LongMath.saturatedMultiply(taskGpus, tasks));
   }
 
   /** Returns whether the sum is within a team's guarantee. GPUs count only if the job uses GPUs. */
--- a/src/main/java/gladeknot/scheduling/Scheduler.java
+++ b/src/main/java/gladeknot/scheduling/Scheduler.java
@@ -216,7 +216,7 @@
     List<CandidateMachine> machines = new ArrayList<>();
     for (Worker worker : workers.inShard(shard)) {
       if (isSchedulable(worker)) {
-        machines.add(CandidateMachine.of(worker, types.get(worker.type())));
+        machines.add(CandidateMachine.of(worker, types.get(worker.type()), nowMicros));
       }
     }
     return machines;
--- a/src/main/java/gladeknot/settings/Settings.java
+++ b/src/main/java/gladeknot/settings/Settings.java
@@ -49,7 +49,7 @@
   /** Another controller. */
   public record Member(String node, String zone, String address) {}
 
-  /** A team's guarantee and limit; CPUs and GPUs in thousandths. A limit of 0 means no limit. */
+  /** A team's guarantee and limit; CPUs and GPUs in billionths. A limit of 0 means no limit. */
   public record Team(String name, long cpus, long cpusMax, long gpus, long gpusMax) {
     /** Returns whether the team's CPUs are limited. */
     public boolean limitsCpus() {
--- a/src/main/java/gladeknot/settings/SettingsReader.java
+++ b/src/main/java/gladeknot/settings/SettingsReader.java
@@ -113,10 +113,10 @@
       Settings.Team team =
           new Settings.Team(
               table.text("name"),
-              table.thousandths("cpus"),
-              table.thousandths("cpus_max"),
-              table.thousandths("gpus"),
-              table.thousandths("gpus_max"));
+              table.resources("cpus"),
+              table.resourceLimit("cpus_max"),
+              table.resources("gpus"),
+              table.resourceLimit("gpus_max"));
       teams.put(team.name(), team);
     }
     return Map.copyOf(teams);
--- a/src/main/java/gladeknot/settings/SettingsTable.java
+++ b/src/main/java/gladeknot/settings/SettingsTable.java
@@ -1,6 +1,8 @@
 package gladeknot.settings;
 
 import gladeknot.json.Json;
+import gladeknot.json.ResourceUnits;
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,7 +16,6 @@
 final class SettingsTable {
   private static final double MICROS_PER_SECOND = 1e6;
   private static final double MICROS_PER_MILLI = 1000;
-  private static final double THOUSANDTHS_PER_UNIT = 1000;
 
   /** Maximum for limits, so that sizes in bytes and counts fit an int. */
   private static final double MAX_LIMIT = 1_000_000;
@@ -141,14 +142,24 @@
     return (long) (optionalNumber(name, 0) * MICROS_PER_MILLI);
   }
 
-  /** Returns a required amount of 0 or more, in thousandths. */
-  long thousandths(String name) {
-    double value = optionalNumber(name, Double.NaN);
-    if (!(value >= 0)) {
+  /** Returns a required amount of 0 or more, in billionths, rounded down. */
+  long resources(String name) {
+    BigDecimal value = Json.decimal(fields, name);
+    if (value == null || value.signum() < 0) {
       fault(name, "must be a number, 0 or more");
       return 0;
     }
-    return Math.round(value * THOUSANDTHS_PER_UNIT);
+    return ResourceUnits.available(value);
+  }
+
+  /**
+   * Returns a required limit of 0 or more, in billionths, rounded down. Only a limit of 0 is
+   * returned as 0, which means that there is none.
+   */
+  long resourceLimit(String name) {
+    long units = resources(name);
+    BigDecimal value = Json.decimal(fields, name);
+    return value != null && value.signum() > 0 ? Math.max(1, units) : units;
   }
 
   void fault(String name, String description) {
--- a/src/main/java/gladeknot/tasks/Slice.java
+++ b/src/main/java/gladeknot/tasks/Slice.java
@@ -65,17 +65,17 @@
     return team;
   }
 
-  /** Returns the CPUs of one task, in thousandths. */
+  /** Returns the CPUs of one task, in billionths. */
   public long cpus() {
     return cpus;
   }
 
-  /** Returns the GPUs of one task, in thousandths. */
+  /** Returns the GPUs of one task, in billionths. */
   public long gpus() {
     return gpus;
   }
 
-  /** Returns the memory of one task, in thousandths of a GB. */
+  /** Returns the memory of one task, in billionths of a GB. */
   public long memory() {
     return memory;
   }
--- a/src/main/java/gladeknot/tasks/SliceRegistry.java
+++ b/src/main/java/gladeknot/tasks/SliceRegistry.java
@@ -173,6 +173,10 @@
       resetToEvenShare(slice, job);
     } else {
       loadRecord(slice, stored);
+      if (active) {
+        // Earlier versions stored rounded amounts.
+        slice.setResources(job.spec());
+      }
     }
     return Optional.of(slice);
   }
--- a/src/main/java/gladeknot/workers/HeartbeatCodec.java
+++ b/src/main/java/gladeknot/workers/HeartbeatCodec.java
@@ -1,6 +1,7 @@
 package gladeknot.workers;
 
 import gladeknot.json.Json;
+import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -107,13 +108,17 @@
   private static long wholeNumber(Map<String, Object> object, String name)
       throws MalformedHeartbeatException {
     if (!(object.get(name) instanceof Number number)
-        || number instanceof Double
+        || !isWhole(number)
         || number.longValue() < 0) {
       throw malformed(name, "must be a whole number");
     }
     return number.longValue();
   }
 
+  private static boolean isWhole(Number number) {
+    return number instanceof Integer || number instanceof Long || number instanceof BigInteger;
+  }
+
   private static MalformedHeartbeatException malformed(String name, String fault) {
     return new MalformedHeartbeatException(name + ": " + fault);
   }
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -13,6 +13,12 @@
 public final class Worker {
   private static final WorkerRecord UNREGISTERED = new WorkerRecord(0, "", "", false, 0, false);
 
+  /** Time for which a machine's first refusal excludes a size of tasks, in microseconds. */
+  private static final long REFUSED_SIZE_MICROS = 4_000_000;
+
+  /** Maximum number of doublings; the longest exclusion is about 17 minutes. */
+  private static final int MAX_REFUSED_SIZE_DOUBLINGS = 8;
+
   private final String host;
   private WorkerRecord record = UNREGISTERED;
   private boolean registered;
@@ -24,6 +30,8 @@
   private final WorkerReachability reachability = new WorkerReachability();
   private final ImageCache imageCache = new ImageCache();
   private final WorkerFailures failures = new WorkerFailures();
+  private final RefusedSizes refusedSizes =
+      new RefusedSizes(REFUSED_SIZE_MICROS, MAX_REFUSED_SIZE_DOUBLINGS);
 
   /** Attempts of all shards by task name, according to the cache. */
   private final Map<String, Attempt> attempts = new LinkedHashMap<>();
@@ -259,6 +267,24 @@
 
   // Failures.
 
+  /**
+   * Records that the machine has refused a task for lack of resources; returns the number of
+   * refusals of such tasks that are remembered.
+   */
+  public int recordRefusal(TaskSize size, long nowMicros) {
+    return refusedSizes.record(size, nowMicros);
+  }
+
+  /** Returns whether the machine is not to be chosen for tasks of a size that it has refused. */
+  public boolean refuses(TaskSize size, long nowMicros) {
+    return refusedSizes.excludes(size, nowMicros);
+  }
+
+  /** Returns whether the machine has refused tasks for lack of resources. */
+  public boolean hasRefusals() {
+    return !refusedSizes.isEmpty();
+  }
+
   /** Counts a failure of a job's task on the machine and quarantines the machine. */
   public void recordFailure(String job, long nowMicros) {
     failures.recordFailure(job, nowMicros);
--- a/src/test/java/gladeknot/app/CordonedMachinesTest.java
+++ b/src/test/java/gladeknot/app/CordonedMachinesTest.java
@@ -4,10 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gladeknot.settings.Settings;
 import gladeknot.standin.ClusterScale;
 import gladeknot.standin.SimulatedCluster;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestTeams;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -30,7 +30,7 @@
   private static SimulatedCluster cluster() {
     SimulatedCluster cluster =
         new SimulatedCluster(
-            3, 53, ClusterScale.withTeams(MACHINES, 0, new Settings.Team("dev", 0, 0, 0, 0)));
+            3, 53, ClusterScale.withTeams(MACHINES, 0, TestTeams.team("dev", 0, 0, 0, 0)));
     cluster.run(3 * MICROS_PER_SECOND);
     Map<String, Object> service = TestJobs.job("req-web", "service", MACHINES);
     service.put("cores", 2.0);
--- a/src/test/java/gladeknot/app/JobArchiveTest.java
+++ b/src/test/java/gladeknot/app/JobArchiveTest.java
@@ -109,7 +109,7 @@
     SimulatedCluster cluster = new SimulatedCluster(CONTROLLERS, 49);
     cluster.state().preset("g/format", Json.of("f", 2, "split", 4));
     cluster.run(30 * MICROS_PER_SECOND);
-    assertEquals(Json.of("f", 3, "split", 4), cluster.state().get("g/format"));
+    assertEquals(Json.of("f", 4, "split", 4), cluster.state().get("g/format"));
     cluster.submit(0, TestJobs.job("req-after", "array", 5));
     cluster.run(30 * MICROS_PER_SECOND);
     assertEquals(5, cluster.doneTasks("req-after"));
--- a/src/test/java/gladeknot/app/NamesTest.java
+++ b/src/test/java/gladeknot/app/NamesTest.java
@@ -3,10 +3,10 @@
 import static gladeknot.standin.SimulatedCluster.MICROS_PER_SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import gladeknot.settings.Settings;
 import gladeknot.standin.ClusterScale;
 import gladeknot.standin.SimulatedCluster;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestTeams;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
@@ -63,8 +63,8 @@
         ClusterScale.withTeams(
             12,
             0,
-            new Settings.Team(team, 8_000, 12_000, 0, 0),
-            new Settings.Team("other", 8_000, 12_000, 0, 0));
+            TestTeams.team(team, 8_000, 12_000, 0, 0),
+            TestTeams.team("other", 8_000, 12_000, 0, 0));
     SimulatedCluster cluster =
         new SimulatedCluster(CONTROLLERS, 61, scale.withNodePrefix(nodePrefix));
     cluster.run(3 * MICROS_PER_SECOND);
--- a/src/test/java/gladeknot/app/QuotaFaultsTest.java
+++ b/src/test/java/gladeknot/app/QuotaFaultsTest.java
@@ -4,11 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gladeknot.settings.Settings;
 import gladeknot.standin.ClusterScale;
 import gladeknot.standin.ClusterSettings;
 import gladeknot.standin.SimulatedCluster;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestTeams;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -55,8 +55,8 @@
       ClusterScale.withTeams(
           24,
           0,
-          new Settings.Team("dev", 8_000, LIMIT_CPUS * 1_000, 0, 0),
-          new Settings.Team("ops", 8_000, LIMIT_CPUS * 1_000, 0, 0));
+          TestTeams.team("dev", 8_000, LIMIT_CPUS * 1_000, 0, 0),
+          TestTeams.team("ops", 8_000, LIMIT_CPUS * 1_000, 0, 0));
 
   /** Quota is reused only after the end is committed, but must not stay idle for long. */
   @Test
--- a/src/test/java/gladeknot/app/QuotaLimitsTest.java
+++ b/src/test/java/gladeknot/app/QuotaLimitsTest.java
@@ -8,6 +8,7 @@
 import gladeknot.standin.ClusterScale;
 import gladeknot.standin.SimulatedCluster;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestTeams;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -63,7 +64,7 @@
   }
 
   private static Settings.Team dev(int cpus) {
-    return new Settings.Team("dev", 4_000, cpus * 1_000L, 0, 0);
+    return TestTeams.team("dev", 4_000, cpus * 1_000L, 0, 0);
   }
 
   @TestFactory
--- a/src/test/java/gladeknot/app/QuotaRandomFaultsTest.java
+++ b/src/test/java/gladeknot/app/QuotaRandomFaultsTest.java
@@ -3,11 +3,11 @@
 import static gladeknot.standin.SimulatedCluster.MICROS_PER_SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import gladeknot.settings.Settings;
 import gladeknot.standin.ClusterScale;
 import gladeknot.standin.RandomFaults;
 import gladeknot.standin.SimulatedCluster;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestTeams;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -39,9 +39,9 @@
       ClusterScale.withTeams(
           24,
           2,
-          new Settings.Team("dev", 8_000, 24_000, 0, 0),
-          new Settings.Team("ops", 6_000, 18_000, 2_000, 6_000),
-          new Settings.Team("lab", 4_000, 0, 4_000, 8_000));
+          TestTeams.team("dev", 8_000, 24_000, 0, 0),
+          TestTeams.team("ops", 6_000, 18_000, 2_000, 6_000),
+          TestTeams.team("lab", 4_000, 0, 4_000, 8_000));
 
   private static LongStream seeds() {
     String property = System.getProperty(SEEDS_PROPERTY, "");
--- a/src/test/java/gladeknot/app/RejectedChangesTest.java
+++ b/src/test/java/gladeknot/app/RejectedChangesTest.java
@@ -4,10 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gladeknot.settings.Settings;
 import gladeknot.standin.ClusterScale;
 import gladeknot.standin.SimulatedCluster;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestTeams;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -33,8 +33,8 @@
             ClusterScale.withTeams(
                 12,
                 0,
-                new Settings.Team("dev", 8_000, 24_000, 0, 0),
-                new Settings.Team("faulty", 8_000, 24_000, 0, 0)));
+                TestTeams.team("dev", 8_000, 24_000, 0, 0),
+                TestTeams.team("faulty", 8_000, 24_000, 0, 0)));
     cluster.state().refuseKeys("g/team/faulty"::equals);
     cluster.run(3 * MICROS_PER_SECOND);
     // when
--- a/src/test/java/gladeknot/fleet/CapacityTest.java
+++ b/src/test/java/gladeknot/fleet/CapacityTest.java
@@ -7,6 +7,7 @@
 import gladeknot.jobs.JobSpecCodec;
 import gladeknot.jobs.MalformedJobException;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestMachineTypes;
 import gladeknot.workers.MachineType;
 import java.util.HashMap;
 import java.util.List;
@@ -16,7 +17,8 @@
 /** Tests how expected tasks are packed, and that the cost per task doesn't grow with the fleet. */
 class CapacityTest {
   private static final MachineType TYPE =
-      new MachineType("small", 4000, 0, 16_000, 40, 0.5, 0.2, 0.1, 10_000_000, List.of("a", "b"));
+      TestMachineTypes.inThousandths(
+          "small", 4000, 0, 16_000, 40, 0.5, 0.2, 0.1, 10_000_000, List.of("a", "b"));
 
   private static JobSpec spec(String shape, int tasks) throws MalformedJobException {
     return JobSpecCodec.decode(TestJobs.job("req-1", shape, tasks));
--- a/src/test/java/gladeknot/fleet/CloudCodecTest.java
+++ b/src/test/java/gladeknot/fleet/CloudCodecTest.java
@@ -6,6 +6,7 @@
 
 import gladeknot.json.Json;
 import gladeknot.outbox.Outbox;
+import gladeknot.standin.TestMachineTypes;
 import gladeknot.workers.MachineType;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -16,7 +17,8 @@
 /** Checks the exact paths, field names and units of the cloud's API. */
 class CloudCodecTest {
   private static final MachineType TYPE =
-      new MachineType("small", 4000, 500, 16_000, 40, 0.5, 0.2, 0.1, 10_000_000, List.of("a", "b"));
+      TestMachineTypes.inThousandths(
+          "small", 4000, 500, 16_000, 40, 0.5, 0.2, 0.1, 10_000_000, List.of("a", "b"));
 
   private static Outbox.Reply reply(int status, String body) {
     return new Outbox.Reply(status, body.getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/gladeknot/fleet/EligibilityTest.java
+++ b/src/test/java/gladeknot/fleet/EligibilityTest.java
@@ -40,7 +40,7 @@
     RandomEligibility random = new RandomEligibility(2);
     for (int i = 0; i < CASES; i++) {
       InstanceCatalog catalog = new InstanceCatalog();
-      catalog.update(random.types());
+      catalog.update(random.types(), 0);
       JobSpec job = random.job();
       boolean offered =
           catalog.offerings().stream()
--- a/src/test/java/gladeknot/fleet/ForecastTest.java
+++ b/src/test/java/gladeknot/fleet/ForecastTest.java
@@ -6,15 +6,20 @@
 import gladeknot.jobs.JobSpec;
 import gladeknot.jobs.JobSpecCodec;
 import gladeknot.jobs.MalformedJobException;
+import gladeknot.json.ResourceUnits;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestMachineTypes;
 import gladeknot.workers.MachineType;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class ForecastTest {
+  private static final long CPU = ResourceUnits.PER_WHOLE;
+  private static final long GB = ResourceUnits.PER_WHOLE;
   private static final MachineType TYPE =
-      new MachineType("small", 2000, 0, 16_000, 40, 0.5, 0.2, 0.1, 10_000_000, List.of("a"));
+      TestMachineTypes.inThousandths(
+          "small", 2000, 0, 16_000, 40, 0.5, 0.2, 0.1, 10_000_000, List.of("a"));
 
   private static JobSpec spec(String shape) throws MalformedJobException {
     return JobSpecCodec.decode(TestJobs.job("req-1", shape, 4));
@@ -27,7 +32,7 @@
     MachineTimeline machine = new MachineTimeline(TYPE, "a", true, 0, 0, List.of("img"));
     forecast.add(machine);
     forecast.addRunning(
-        new Forecast.RunningTask(JobSpec.Priority.NORMAL, machine, 0, 5_000_000, 1000, 0, 1000));
+        new Forecast.RunningTask(JobSpec.Priority.NORMAL, machine, 0, 5_000_000, CPU, 0, GB));
     forecast.admit(JobSpec.Priority.NORMAL);
     long[] expectedRunningMicros = {0, 5_000_000, 6_000_000, 11_000_000};
     for (long runningMicros : expectedRunningMicros) {
@@ -64,7 +69,8 @@
     MachineTimeline machine = new MachineTimeline(TYPE, "a", false, 0, 0, List.of("img"));
     forecast.add(machine);
     forecast.addRunning(
-        new Forecast.RunningTask(JobSpec.Priority.NORMAL, machine, 0, 50_000_000, 2000, 0, 2000));
+        new Forecast.RunningTask(
+            JobSpec.Priority.NORMAL, machine, 0, 50_000_000, 2 * CPU, 0, 2 * GB));
     forecast.admit(JobSpec.Priority.PROD);
     assertEquals(0, machine.earliestStartMicros(serviceSpec));
     forecast.admit(JobSpec.Priority.NORMAL);
--- a/src/test/java/gladeknot/fleet/InstanceCatalogTest.java
+++ b/src/test/java/gladeknot/fleet/InstanceCatalogTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gladeknot.standin.TestMachineTypes;
 import gladeknot.workers.MachineType;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -13,12 +14,13 @@
   private static final long NOW_MICROS = 1_000_000;
 
   private static MachineType type(String name, double price, String... zones) {
-    return new MachineType(name, 4000, 0, 16_000, 40, 0.5, price, 0.1, 10_000_000, List.of(zones));
+    return TestMachineTypes.inThousandths(
+        name, 4000, 0, 16_000, 40, 0.5, price, 0.1, 10_000_000, List.of(zones));
   }
 
   private static InstanceCatalog catalog() {
     InstanceCatalog catalog = new InstanceCatalog();
-    catalog.update(List.of(type("small", 0.2, "b", "a"), type("large", 0.8, "a", "c")));
+    catalog.update(List.of(type("small", 0.2, "b", "a"), type("large", 0.8, "a", "c")), 0);
     return catalog;
   }
 
@@ -44,7 +46,7 @@
     InstanceCatalog catalog = new InstanceCatalog();
     assertFalse(catalog.isKnown());
     assertFalse(catalog.anyAvailable(NOW_MICROS));
-    catalog.update(List.of(type("small", 0.2, "a")));
+    catalog.update(List.of(type("small", 0.2, "a")), 0);
     assertTrue(catalog.isKnown());
     assertTrue(catalog.anyAvailable(NOW_MICROS));
   }
@@ -54,7 +56,7 @@
     InstanceCatalog catalog = catalog();
     InstanceOffering refused = List.copyOf(catalog.offerings()).get(1);
     refused.onRefused(NOW_MICROS);
-    catalog.update(List.of(type("small", 0.3, "b")));
+    catalog.update(List.of(type("small", 0.3, "b")), 0);
     InstanceOffering listed = List.copyOf(catalog.offerings()).get(1);
     assertEquals(0.3, listed.price());
     assertFalse(listed.isAvailable(NOW_MICROS + 9_999_999));
--- a/src/test/java/gladeknot/fleet/ScaleOutRequestTest.java
+++ b/src/test/java/gladeknot/fleet/ScaleOutRequestTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import gladeknot.standin.TestMachineTypes;
 import gladeknot.workers.MachineType;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -13,7 +14,8 @@
 
   private static ScaleOutRequest request() {
     MachineType type =
-        new MachineType("small", 4000, 0, 16_000, 40, 0.5, 0.2, 0.1, 10_000_000, List.of("a"));
+        TestMachineTypes.inThousandths(
+            "small", 4000, 0, 16_000, 40, 0.5, 0.2, 0.1, 10_000_000, List.of("a"));
     return new ScaleOutRequest("node-0-1-1", new InstanceOffering(type, "a", false), 2, 0);
   }
 
--- a/src/test/java/gladeknot/scheduling/DeadlineCapacityTest.java
+++ b/src/test/java/gladeknot/scheduling/DeadlineCapacityTest.java
@@ -6,6 +6,7 @@
 import gladeknot.jobs.JobSpecCodec;
 import gladeknot.jobs.MalformedJobException;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestMachineTypes;
 import gladeknot.state.Entry;
 import gladeknot.workers.MachineType;
 import gladeknot.workers.WorkerRecord;
@@ -53,7 +54,7 @@
 
   private static MachineType type(String name) {
     boolean accelerated = name.equals("accelerated");
-    return new MachineType(
+    return TestMachineTypes.inThousandths(
         name,
         accelerated ? 16_000 : 4_000,
         accelerated ? 2_000 : 0,
--- a/src/test/java/gladeknot/settings/SettingsReaderTest.java
+++ b/src/test/java/gladeknot/settings/SettingsReaderTest.java
@@ -71,7 +71,7 @@
     assertEquals(List.of(), result.faults());
     Settings settings = result.settings();
     assertEquals(14_000_000, settings.workers().leaseMicros());
-    assertEquals(24_000, settings.teams().get("dev").cpusMax());
+    assertEquals(24_000_000_000L, settings.teams().get("dev").cpusMax());
     assertEquals(List.of("n0", "n1"), settings.nodes());
   }
 
--- a/src/test/java/gladeknot/standin/ClusterScale.java
+++ b/src/test/java/gladeknot/standin/ClusterScale.java
@@ -52,7 +52,7 @@
     this(
         machines,
         0,
-        List.of(new Settings.Team("dev", teamCpus / 3, teamCpus, 0, 0)),
+        List.of(TestTeams.team("dev", teamCpus / 3, teamCpus, 0, 0)),
         stateRps,
         writeRps,
         valueBytes,
--- a/src/test/java/gladeknot/standin/FakeCloud.java
+++ b/src/test/java/gladeknot/standin/FakeCloud.java
@@ -2,6 +2,7 @@
 
 import gladeknot.json.Json;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,9 +14,17 @@
   /** A rented machine; {@code upMicros} is the time at which it has booted. */
   public record Machine(String id, String type, String zone, boolean spot, long upMicros) {}
 
+  /** Name of the machine type with twice the CPUs and four times the memory. */
+  public static final String LARGE_TYPE = "large";
+
   /** Name of the machine type with GPUs. */
   static final String GPU_TYPE = "gpu";
 
+  /** Name of the ordinary machine type. */
+  public static final String SMALL_TYPE = "small";
+
+  private static final int CPUS = 4;
+  private static final int MEMORY_GB = 16;
   private static final double MICROS_PER_SECOND = 1e6;
 
   private final TreeMap<String, Machine> machines = new TreeMap<>();
@@ -29,6 +38,8 @@
   private final int gpus;
   private final long bootMicros;
   private long nowMicros;
+  private final Map<String, BigDecimal> listedMemoryGb = new HashMap<>();
+  private boolean offersLargeType;
   private int nextMachine = 1;
   private long changes;
 
@@ -50,6 +61,29 @@
     this.bootMicros = bootMicros;
   }
 
+  /** Also offers {@link #LARGE_TYPE} from now on. */
+  public void offerLargeType() {
+    offersLargeType = true;
+  }
+
+  /** Lists a type with another amount of memory than its machines have. */
+  public void listMemoryGb(String type, BigDecimal memoryGb) {
+    listedMemoryGb.put(type, memoryGb);
+  }
+
+  /** Returns what a machine of a type has. */
+  ResourceUse capacity(String type) {
+    boolean large = type.equals(LARGE_TYPE);
+    return ResourceUse.of(
+        BigDecimal.valueOf(large ? 2 * CPUS : CPUS),
+        BigDecimal.valueOf(type.equals(GPU_TYPE) ? gpus : 0),
+        BigDecimal.valueOf(memoryGb(type)));
+  }
+
+  private static int memoryGb(String type) {
+    return type.equals(LARGE_TYPE) ? 4 * MEMORY_GB : MEMORY_GB;
+  }
+
   /** Sets the time. */
   public void advance(long now) {
     nowMicros = now;
@@ -98,7 +132,10 @@
 
   private List<Object> machineTypes() {
     List<Object> types = new ArrayList<>();
-    types.add(machineType("small", 0));
+    types.add(machineType(SMALL_TYPE, 0));
+    if (offersLargeType) {
+      types.add(machineType(LARGE_TYPE, 0));
+    }
     if (gpus > 0) {
       types.add(machineType(GPU_TYPE, gpus));
     }
@@ -107,12 +144,17 @@
 
   private Map<String, Object> machineType(String label, int gpusOfType) {
     Map<String, Object> type =
-        Json.of("label", label, "cores", 4.0, "accelerators", (double) gpusOfType);
-    type.put("memoryGb", 16.0);
+        Json.of("label", label, "cores", (double) CPUS, "accelerators", (double) gpusOfType);
     type.put("cacheGb", 40.0);
     type.put("fetchGbPerS", 1.0);
     type.put("rate", 0.2);
     type.put("marketPrice", 0.1);
+    if (label.equals(LARGE_TYPE)) {
+      type.put("cores", 2.0 * CPUS);
+      type.put("rate", 0.9);
+      type.put("marketPrice", 0.8);
+    }
+    type.put("memoryGb", listedMemoryGb.getOrDefault(label, BigDecimal.valueOf(memoryGb(label))));
     type.put("readyS", bootMicros / MICROS_PER_SECOND);
     type.put("glades", List.of("a", "b"));
     return type;
--- a/src/test/java/gladeknot/standin/FakeWorker.java
+++ b/src/test/java/gladeknot/standin/FakeWorker.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
 
 /** A worker that follows the protocol: incarnations, fencing tokens, leases, tasks. */
@@ -72,6 +73,8 @@
   private final String endpoint;
   private final long leaseMicros;
   private final ToLongFunction<String> runMicros;
+  private final ResourceUse capacity;
+  private final Function<String, ResourceUse> needs;
   private final Map<String, Task> tasks = new LinkedHashMap<>();
   private final List<String> finished = new ArrayList<>();
   private long incarnation = 1;
@@ -79,6 +82,7 @@
   private long highestToken;
   private long leaseRenewedMicros;
   private long nowMicros;
+  private int refusals;
 
   /** Time at which the cloud reclaims the machine; 0 if no reclaim was announced. */
   private long reclaimAtMicros;
@@ -89,17 +93,44 @@
   /** Names of all tasks started so far, in the order of their starts. */
   private final List<String> startedTasks = new ArrayList<>();
 
-  /** Creates a worker in its first incarnation, on a machine that is up. */
+  /** Creates a worker in its first incarnation that never refuses a task for lack of room. */
   public FakeWorker(
       FakeCloud.Machine machine,
       String endpoint,
       long leaseMicros,
       ToLongFunction<String> runMicros,
       long nowMicros) {
+    this(
+        machine,
+        endpoint,
+        leaseMicros,
+        runMicros,
+        ResourceUse.NONE,
+        task -> ResourceUse.NONE,
+        nowMicros);
+  }
+
+  /**
+   * Creates a worker in its first incarnation, on a machine that is up.
+   *
+   * @param runMicros returns how long a task runs
+   * @param capacity what the machine has
+   * @param needs returns what a task needs, by its name
+   */
+  FakeWorker(
+      FakeCloud.Machine machine,
+      String endpoint,
+      long leaseMicros,
+      ToLongFunction<String> runMicros,
+      ResourceUse capacity,
+      Function<String, ResourceUse> needs,
+      long nowMicros) {
     this.machine = machine;
     this.endpoint = endpoint;
     this.leaseMicros = leaseMicros;
     this.runMicros = runMicros;
+    this.capacity = capacity;
+    this.needs = needs;
     this.leaseRenewedMicros = nowMicros;
     this.nowMicros = nowMicros;
   }
@@ -238,6 +269,19 @@
     return now - leaseRenewedMicros > leaseMicros;
   }
 
+  private boolean hasRoomFor(String name) {
+    ResourceUse use = needs.apply(name);
+    for (Task task : live()) {
+      use = use.plus(needs.apply(task.name));
+    }
+    return use.fitsIn(capacity);
+  }
+
+  /** Returns the number of starts that were refused for lack of room. */
+  int refusals() {
+    return refusals;
+  }
+
   /** Returns the number of tasks started so far. */
   public int startCount() {
     return startedTasks.size();
@@ -289,7 +333,25 @@
     }
   }
 
+  /** Starts a task that the worker does not have, even if there is no room for it. */
+  void startWithoutRoom(String name, long attempt) {
+    if (!tasks.containsKey(name)) {
+      add(name, attempt);
+    }
+  }
+
   private void start(String name, long attempt) {
+    if (!hasRoomFor(name)) {
+      Task refused = new Task(name, attempt, nowMicros);
+      refused.end("no_room");
+      tasks.put(name, refused);
+      refusals++;
+      return;
+    }
+    add(name, attempt);
+  }
+
+  private void add(String name, long attempt) {
     tasks.put(name, new Task(name, attempt, nowMicros + runMicros.applyAsLong(name)));
     startedTasks.add(name);
     taskListener.started(host(), name, attempt, nowMicros);
--- a/src/test/java/gladeknot/standin/FirstVersionRecords.java
+++ b/src/test/java/gladeknot/standin/FirstVersionRecords.java
@@ -12,6 +12,10 @@
   private static final Pattern SEGMENT_KEY = Pattern.compile("g/sl/[0-9]+/(a[0-3]|w[01])");
   private static final String RANGES = "([0-9]+(-[0-9]+)?(,[0-9]+(-[0-9]+)?)*)?";
   private static final String ATTEMPTS = "([0-9]+:[0-9]+:[^:,|~]+(,[0-9]+:[0-9]+:[^:,|~]+)*)?";
+
+  /** That version splits a record at all separators and looks at the first eight fields only. */
+  private static final String FURTHER_FIELDS = "(\\|[^|]*)*";
+
   private static final Pattern SLICE =
       Pattern.compile(
           "[^|]+\\|[0-9]+\\|[0-9]+\\|[0-9]+\\|[0-9]+\\|"
@@ -19,7 +23,8 @@
               + "\\|([*]|"
               + RANGES
               + ")\\|"
-              + ATTEMPTS);
+              + ATTEMPTS
+              + FURTHER_FIELDS);
 
   private FirstVersionRecords() {}
 
--- a/src/test/java/gladeknot/standin/History.java
+++ b/src/test/java/gladeknot/standin/History.java
@@ -119,6 +119,11 @@
     }
   }
 
+  /** Returns the resources that a task uses. */
+  synchronized ResourceUse useOfTask(String task) {
+    return useOf(task).use();
+  }
+
   private TeamUse useOf(String task) {
     return usageByJob.getOrDefault(jobOf(task), UNKNOWN_JOB);
   }
--- a/src/test/java/gladeknot/standin/HistoryTest.java
+++ b/src/test/java/gladeknot/standin/HistoryTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gladeknot.settings.Settings;
+import java.math.BigDecimal;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -14,13 +14,16 @@
  * accepts a valid one.
  */
 class HistoryTest {
+  private static final ResourceUse ONE_CPU_ONE_AND_A_HALF_GPUS =
+      ResourceUse.of(BigDecimal.ONE, new BigDecimal("1.5"), BigDecimal.ZERO);
+
   private static final long CANCEL_MICROS = 20;
   private static final String KEY = "g/sl/0/a0";
 
   private record Case(String reason, Consumer<History> history) {}
 
   private static History newHistory() {
-    return new History(CANCEL_MICROS, List.of(new Settings.Team("dev", 0, 4_000, 0, 2_000)), 1);
+    return new History(CANCEL_MICROS, List.of(TestTeams.team("dev", 0, 4_000, 0, 2_000)), 1);
   }
 
   private static void commit(History history, String attempts) {
@@ -74,7 +77,7 @@
               "quota",
               history -> {
                 commit(history, "0:1:vm-1,1:2:vm-2");
-                history.submitted("req-a", 2, "dev", ResourceUse.of(1, 1.5));
+                history.submitted("req-a", 2, "dev", ONE_CPU_ONE_AND_A_HALF_GPUS);
                 history.started("vm-1", "req-a/0", 1, 2);
                 history.started("vm-2", "req-a/1", 2, 3);
               }),
--- a/src/test/java/gladeknot/standin/LoopbackScale.java
+++ b/src/test/java/gladeknot/standin/LoopbackScale.java
@@ -1,5 +1,6 @@
 package gladeknot.standin;
 
+import gladeknot.json.ResourceUnits;
 import gladeknot.settings.Settings;
 import java.util.List;
 
@@ -26,11 +27,10 @@
   private static final int BYTES_PER_KILOBYTE = 1024;
   private static final double DEFAULT_STATE_RPS = 200;
   private static final double DEFAULT_WRITE_RPS = 80;
-  private static final double THOUSANDTHS_PER_UNIT = 1000;
 
   /** Twenty machines and one team whose tasks run for one second. */
   public static final LoopbackScale SMALL =
-      new LoopbackScale(20, 0, List.of(new Settings.Team("dev", 8_000, 40_000, 0, 0)), 1_000_000);
+      new LoopbackScale(20, 0, List.of(TestTeams.team("dev", 8_000, 40_000, 0, 0)), 1_000_000);
 
   /** Creates a scale whose state service takes values of up to 8 KiB. */
   public LoopbackScale(int machines, int machineGpus, List<Settings.Team> teams, long taskMicros) {
@@ -93,10 +93,10 @@
     StringBuilder text = new StringBuilder();
     for (Settings.Team team : teams) {
       text.append("[[cluster.teams]]\nname = \"" + team.name() + "\"\n");
-      text.append("cpus = " + team.cpus() / THOUSANDTHS_PER_UNIT + "\n");
-      text.append("cpus_max = " + team.cpusMax() / THOUSANDTHS_PER_UNIT + "\n");
-      text.append("gpus = " + team.gpus() / THOUSANDTHS_PER_UNIT + "\n");
-      text.append("gpus_max = " + team.gpusMax() / THOUSANDTHS_PER_UNIT + "\n");
+      text.append("cpus = " + ResourceUnits.toDecimal(team.cpus()) + "\n");
+      text.append("cpus_max = " + ResourceUnits.toDecimal(team.cpusMax()) + "\n");
+      text.append("gpus = " + ResourceUnits.toDecimal(team.gpus()) + "\n");
+      text.append("gpus_max = " + ResourceUnits.toDecimal(team.gpusMax()) + "\n");
     }
     return text.toString();
   }
--- a/src/test/java/gladeknot/standin/LoopbackServices.java
+++ b/src/test/java/gladeknot/standin/LoopbackServices.java
@@ -277,7 +277,8 @@
 
   private LoopbackWorker boot(FakeCloud.Machine machine) {
     try {
-      return new LoopbackWorker(this, machine, history, scale.taskMicros());
+      return new LoopbackWorker(
+          this, machine, history, cloud.capacity(machine.type()), scale.taskMicros());
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
--- a/src/test/java/gladeknot/standin/LoopbackSoak.java
+++ b/src/test/java/gladeknot/standin/LoopbackSoak.java
@@ -1,6 +1,5 @@
 package gladeknot.standin;
 
-import gladeknot.settings.Settings;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -47,9 +46,9 @@
           24,
           2,
           List.of(
-              new Settings.Team("dev", 8_000, 24_000, 0, 0),
-              new Settings.Team("ops", 6_000, 18_000, 2_000, 6_000),
-              new Settings.Team("lab", 4_000, 0, 4_000, 8_000)),
+              TestTeams.team("dev", 8_000, 24_000, 0, 0),
+              TestTeams.team("ops", 6_000, 18_000, 2_000, 6_000),
+              TestTeams.team("lab", 4_000, 0, 4_000, 8_000)),
           TASK_MICROS);
 
   /** Scale with small values in the state service, so that segments are split several times. */
@@ -58,9 +57,9 @@
           9,
           2,
           List.of(
-              new Settings.Team("dev", 8_000, 24_000, 0, 0),
-              new Settings.Team("ops", 6_000, 18_000, 2_000, 6_000),
-              new Settings.Team("lab", 4_000, 0, 4_000, 8_000)),
+              TestTeams.team("dev", 8_000, 24_000, 0, 0),
+              TestTeams.team("ops", 6_000, 18_000, 2_000, 6_000),
+              TestTeams.team("lab", 4_000, 0, 4_000, 8_000)),
           10_000_000,
           SMALL_VALUE_KILOBYTES);
 
@@ -69,9 +68,9 @@
           260,
           2,
           List.of(
-              new Settings.Team("dev", 200_000, 660_000, 0, 0),
-              new Settings.Team("ops", 6_000, 18_000, 2_000, 6_000),
-              new Settings.Team("lab", 4_000, 0, 4_000, 8_000)),
+              TestTeams.team("dev", 200_000, 660_000, 0, 0),
+              TestTeams.team("ops", 6_000, 18_000, 2_000, 6_000),
+              TestTeams.team("lab", 4_000, 0, 4_000, 8_000)),
           TASK_MICROS);
 
   private final Path dir;
--- a/src/test/java/gladeknot/standin/LoopbackUsers.java
+++ b/src/test/java/gladeknot/standin/LoopbackUsers.java
@@ -103,8 +103,7 @@
         job,
         (int) Json.longValue(spec, "strands", 0),
         Json.text(spec, "owner"),
-        ResourceUse.of(
-            Json.doubleValue(spec, "cores", 0), Json.doubleValue(spec, "accelerators", 0)));
+        ResourceUse.ofTask(spec));
     if ("ensemble".equals(spec.get("shape"))) {
       history.submittedAsGang(job);
     }
--- a/src/test/java/gladeknot/standin/LoopbackWorker.java
+++ b/src/test/java/gladeknot/standin/LoopbackWorker.java
@@ -44,6 +44,7 @@
       LoopbackServices services,
       FakeCloud.Machine machine,
       Optional<History> history,
+      ResourceUse capacity,
       long taskMicros)
       throws IOException {
     this.services = services;
@@ -54,6 +55,8 @@
             address,
             LoopbackServices.LEASE_MICROS,
             task -> task.startsWith("req-web") ? Long.MAX_VALUE / 4 : taskMicros,
+            capacity,
+            task -> history.map(observer -> observer.useOfTask(task)).orElse(ResourceUse.NONE),
             LoopbackServices.now());
     history.ifPresent(observer -> worker.setTaskListener(listener(observer)));
     node = Math.floorMod(machine.id().hashCode(), services.nodesForWorkers().size());
--- a/src/test/java/gladeknot/standin/MachineFaults.java
+++ b/src/test/java/gladeknot/standin/MachineFaults.java
@@ -122,10 +122,14 @@
     }
   }
 
-  /** Makes a machine run a task that no controller started; for tests of the checkers. */
+  /**
+   * Makes a machine run a task that no controller started, even if it has no room for it; for tests
+   * of the checkers.
+   */
   public void runUnscheduledTask(int nth, String task) {
     long attempt = FIRST_UNSCHEDULED_ATTEMPT + random.nextInt(UNSCHEDULED_ATTEMPT_RANGE);
-    deliverResponse(nth, List.of(Json.of("verb", "run", "strand", task, "try", attempt)));
+    deliverResponse(nth, List.of());
+    machines.aliveAt(nth).worker().startWithoutRoom(task, attempt);
   }
 
   /** Renews a machine's lease without any controller; for tests of the checkers. */
--- a/src/test/java/gladeknot/standin/ObservedJob.java
+++ b/src/test/java/gladeknot/standin/ObservedJob.java
@@ -32,10 +32,7 @@
   ObservedJob(Map<String, Object> submitted) {
     id = Json.text(submitted, "id");
     team = Json.text(submitted, "owner");
-    taskUse =
-        ResourceUse.of(
-            Json.doubleValue(submitted, "cores", 0),
-            Json.doubleValue(submitted, "accelerators", 0));
+    taskUse = ResourceUse.ofTask(submitted);
     tasks = (int) Json.longValue(submitted, "strands", 0);
     gang = "ensemble".equals(submitted.get("shape"));
     spread = Json.flag(submitted, "scatter");
--- a/src/test/java/gladeknot/standin/RandomEligibility.java
+++ b/src/test/java/gladeknot/standin/RandomEligibility.java
@@ -3,6 +3,7 @@
 import gladeknot.jobs.JobSpec;
 import gladeknot.jobs.JobSpecCodec;
 import gladeknot.jobs.MalformedJobException;
+import gladeknot.json.ResourceUnits;
 import gladeknot.workers.MachineType;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,7 +14,7 @@
 public final class RandomEligibility {
   private static final List<String> SHAPES = List.of("array", "ensemble", "service");
   private static final List<String> ZONES = List.of("a", "b");
-  private static final long THOUSANDTHS = 1000;
+  private static final long UNITS = ResourceUnits.PER_WHOLE;
 
   private final SplittableRandom random;
 
@@ -26,9 +27,9 @@
     List<MachineType> types = new ArrayList<>();
     int count = 1 + random.nextInt(4);
     for (int i = 0; i < count; i++) {
-      long cpus = THOUSANDTHS * (1 + random.nextInt(8));
-      long gpus = THOUSANDTHS * random.nextInt(3);
-      long memory = THOUSANDTHS * (1 + random.nextInt(16));
+      long cpus = UNITS * (1 + random.nextInt(8));
+      long gpus = UNITS * random.nextInt(3);
+      long memory = UNITS * (1 + random.nextInt(16));
       List<String> zones = random.nextBoolean() ? ZONES : ZONES.subList(0, 1);
       types.add(new MachineType("t" + i, cpus, gpus, memory, 40, 0.5, 0.2, 0.1, 1, zones));
     }
--- a/src/test/java/gladeknot/standin/RecoveryChecker.java
+++ b/src/test/java/gladeknot/standin/RecoveryChecker.java
@@ -14,7 +14,6 @@
 final class RecoveryChecker {
   private static final long MAX_UNANSWERED_MICROS = 75 * MICROS_PER_SECOND;
   private static final long MAX_WAIT_MICROS = 90 * MICROS_PER_SECOND;
-  private static final long MACHINE_CPUS = 4;
 
   private static final ResourceUse UNKNOWN_TASK = ResourceUse.of(1, 0);
 
@@ -22,7 +21,7 @@
   private final SimulatedMachines machines;
   private final ObservedJobs jobs;
   private final SimulatedUsers users;
-  private final ClusterScale scale;
+  private final FakeCloud cloud;
   private final TeamLimits limits;
   private final Violations violations;
   private OptionalLong faultsEndedMicros = OptionalLong.empty();
@@ -43,14 +42,14 @@
       SimulatedMachines machines,
       ObservedJobs jobs,
       SimulatedUsers users,
-      ClusterScale scale,
+      FakeCloud cloud,
       TeamLimits limits,
       Violations violations) {
     this.clock = clock;
     this.machines = machines;
     this.jobs = jobs;
     this.users = users;
-    this.scale = scale;
+    this.cloud = cloud;
     this.limits = limits;
     this.violations = violations;
   }
@@ -118,8 +117,7 @@
   private Placement placement(ObservedJob job) {
     Placement placement = new Placement();
     for (SimulatedMachine machine : machines.all()) {
-      boolean hasGpus = machine.worker().type().equals(FakeCloud.GPU_TYPE);
-      ResourceUse freeResources = ResourceUse.of(MACHINE_CPUS, hasGpus ? scale.machineGpus() : 0);
+      ResourceUse freeResources = cloud.capacity(machine.worker().type());
       long tasksHere = 0;
       for (FakeWorker.Task task : machine.liveTasks()) {
         Optional<ObservedJob> jobOfTask = jobs.ofTask(task.name());
--- a/src/test/java/gladeknot/standin/RestartMeasurement.java
+++ b/src/test/java/gladeknot/standin/RestartMeasurement.java
@@ -1,7 +1,6 @@
 package gladeknot.standin;
 
 import gladeknot.jobs.JobRecordCodec;
-import gladeknot.settings.Settings;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -41,7 +40,7 @@
   private static final Path DEPLOY_FILE = Path.of("deploy", "service.toml");
   private static final String RUN = "run = \"";
   private static final LoopbackScale SCALE =
-      new LoopbackScale(8, 0, List.of(new Settings.Team("dev", 8_000, 40_000, 0, 0)), 10_000_000)
+      new LoopbackScale(8, 0, List.of(TestTeams.team("dev", 8_000, 40_000, 0, 0)), 10_000_000)
           .withStateRates(STATE_RPS, WRITE_RPS);
 
   private final HttpClient client =
--- a/src/test/java/gladeknot/standin/SimulatedCluster.java
+++ b/src/test/java/gladeknot/standin/SimulatedCluster.java
@@ -23,6 +23,7 @@
   /** Number of microseconds in a second; all simulated times are in microseconds. */
   public static final long MICROS_PER_SECOND = SimulatedClock.MICROS_PER_SECOND;
 
+  private static final long TRILLIONTHS_PER_THOUSANDTH = 1_000_000_000;
   private static final long BOOT_MICROS = 3 * MICROS_PER_SECOND;
 
   private final FakeStateStore state = new FakeStateStore();
@@ -65,7 +66,7 @@
     limits = new TeamLimits(scale.teams());
     state.limitValueBytes(scale.valueBytes());
     cloud = new FakeCloud(scale.machines(), scale.machineGpus(), BOOT_MICROS);
-    machines = new SimulatedMachines(clock, random, cloud, durations, count);
+    machines = new SimulatedMachines(clock, random, cloud, durations, jobs, count);
     network = new SimulatedNetwork(clock, random, faults, state, cloud, machines, violations);
     controllers =
         new SimulatedControllers(
@@ -82,7 +83,7 @@
         new SimulatedUsers(
             clock, random, controllers, jobs, new JobStatusChecker(clock, jobs, violations));
     executionChecker = new ExecutionChecker(clock, machines, jobs, faults, limits, violations);
-    recoveryChecker = new RecoveryChecker(clock, machines, jobs, users, scale, limits, violations);
+    recoveryChecker = new RecoveryChecker(clock, machines, jobs, users, cloud, limits, violations);
     returnedMachinesChecker = new ReturnedMachinesChecker(state, violations);
     storedQuotaChecker = new StoredQuotaChecker(limits, count, violations::add);
     state.addChangeListener(storedQuotaChecker);
@@ -349,7 +350,7 @@
 
   /** Returns the CPUs that the attempts recorded in a shard use for a team, in thousandths. */
   public long recordedCpus(String team, int shard) {
-    return storedQuotaChecker.recordedUsage(team, shard).cpus();
+    return storedQuotaChecker.recordedUsage(team, shard).cpus() / TRILLIONTHS_PER_THOUSANDTH;
   }
 
   /** Returns whether a committed record of a shard holds an attempt of a job. */
@@ -363,6 +364,11 @@
     return false;
   }
 
+  /** Returns the number of starts that machines have refused for lack of room. */
+  public int refusedStarts() {
+    return machines.refusals();
+  }
+
   /** Returns the number of tasks that are on machines. */
   public int tasksOnMachines() {
     return machines.liveTaskCount();
--- a/src/test/java/gladeknot/standin/SimulatedMachines.java
+++ b/src/test/java/gladeknot/standin/SimulatedMachines.java
@@ -20,22 +20,26 @@
   private final SplittableRandom random;
   private final FakeCloud cloud;
   private final TaskDurations durations;
+  private final ObservedJobs jobs;
   private final TaskFailures failures = new TaskFailures();
   private final int controllers;
   private final Map<String, SimulatedMachine> machines = new TreeMap<>();
   private final List<FakeCloud.Machine> booting = new ArrayList<>();
   private long seenCloudChanges = -1;
+  private int refusalsOfReleased;
 
   SimulatedMachines(
       SimulatedClock clock,
       SplittableRandom random,
       FakeCloud cloud,
       TaskDurations durations,
+      ObservedJobs jobs,
       int controllers) {
     this.clock = clock;
     this.random = random;
     this.cloud = cloud;
     this.durations = durations;
+    this.jobs = jobs;
     this.controllers = controllers;
   }
 
@@ -90,7 +94,12 @@
         booting.add(machine);
       }
     }
-    machines.keySet().retainAll(rented);
+    for (SimulatedMachine machine : List.copyOf(machines.values())) {
+      if (!rented.contains(machine.host())) {
+        refusalsOfReleased += machine.worker().refusals();
+        machines.remove(machine.host());
+      }
+    }
   }
 
   private void bootRented() {
@@ -154,10 +163,27 @@
     machine.reboot(newWorker(rented));
   }
 
+  /** Returns what a task needs; nothing if no user has submitted it. */
+  private ResourceUse useOf(String task) {
+    return jobs.ofTask(task).map(ObservedJob::taskUse).orElse(ResourceUse.NONE);
+  }
+
+  /** Returns the number of starts that machines have refused for lack of room. */
+  int refusals() {
+    return refusalsOfReleased
+        + machines.values().stream().mapToInt(machine -> machine.worker().refusals()).sum();
+  }
+
   private FakeWorker newWorker(FakeCloud.Machine rented) {
     FakeWorker worker =
         new FakeWorker(
-            rented, rented.id() + ":9", ClusterSettings.LEASE_MICROS, durations::of, clock.now());
+            rented,
+            rented.id() + ":9",
+            ClusterSettings.LEASE_MICROS,
+            durations::of,
+            cloud.capacity(rented.type()),
+            this::useOf,
+            clock.now());
     worker.useFailures(failures);
     return worker;
   }
--- a/src/test/java/gladeknot/standin/StoredQuotaChecker.java
+++ b/src/test/java/gladeknot/standin/StoredQuotaChecker.java
@@ -1,6 +1,7 @@
 package gladeknot.standin;
 
 import gladeknot.json.FieldEscaper;
+import gladeknot.json.ResourceUnits;
 import gladeknot.settings.Settings;
 import gladeknot.state.NamedKeys;
 import gladeknot.tasks.RecordedAttempts;
@@ -24,6 +25,7 @@
   private static final int CPUS_FIELD = 1;
   private static final int GPUS_FIELD = 2;
   private static final int NAME_FORM_FIELD = 8;
+  private static final int EXACT_AMOUNTS_FIELD = 9;
 
   private final TeamLimits limits;
   private final int shards;
@@ -58,15 +60,23 @@
         (job, value) -> {
           String record = String.valueOf(value);
           String[] fields = record.split("\\|", -1);
-          ResourceUse task =
-              new ResourceUse(
-                  Long.parseLong(fields[CPUS_FIELD]), Long.parseLong(fields[GPUS_FIELD]));
+          ResourceUse task = taskUse(fields);
           int attempts = RecordedAttempts.of(job, record).size();
           usage.merge(team(fields), task.times(attempts), ResourceUse::plus);
         });
     return usage;
   }
 
+  private static ResourceUse taskUse(String[] fields) {
+    if (fields.length > EXACT_AMOUNTS_FIELD && !fields[EXACT_AMOUNTS_FIELD].isEmpty()) {
+      String[] exact = fields[EXACT_AMOUNTS_FIELD].split(",");
+      return ResourceUse.ofProductUnits(Long.parseLong(exact[0]), Long.parseLong(exact[1]));
+    }
+    return ResourceUse.ofProductUnits(
+        ResourceUnits.ofThousandths(Long.parseLong(fields[CPUS_FIELD])),
+        ResourceUnits.ofThousandths(Long.parseLong(fields[GPUS_FIELD])));
+  }
+
   private static String team(String[] fields) {
     boolean escaped = fields.length > NAME_FORM_FIELD && fields[NAME_FORM_FIELD].equals("e");
     return escaped ? FieldEscaper.unescape(fields[TEAM_FIELD]) : fields[TEAM_FIELD];
@@ -75,7 +85,11 @@
   private List<ResourceUse> shares(Map<String, Object> record) {
     List<ResourceUse> shares = new ArrayList<>();
     for (int shard = 0; shard < shards; shard++) {
-      shares.add(new ResourceUse(amount(record, "c", shard), amount(record, "g", shard)));
+      shares.add(
+          ResourceUse.ofProductUnits(
+              ResourceUnits.ofThousandths(amount(record, "c", shard)) + amount(record, "cr", shard),
+              ResourceUnits.ofThousandths(amount(record, "g", shard))
+                  + amount(record, "gr", shard)));
     }
     return shares;
   }
