Purge an attempt only when no copy of its start command can arrive any more

What could happen: a worker carries out an answer until 4 s after its heartbeat. An attempt that was started, moved or ended and purged within that time is unknown to the worker, and a late copy of the answer with its run command started it again, while its task ran elsewhere under a new attempt.

Change: RecentRuns keeps, for each worker, which run commands answers have carried in the last 4.01 s (the protocol's 4 s and the drift of clocks). The purge of such an attempt is withheld, unless the same answer starts a later attempt of the task: the worker then has the task, and refuses the former one.

--- a/src/main/java/gladeknot/lifecycle/AttemptTracker.java
+++ b/src/main/java/gladeknot/lifecycle/AttemptTracker.java
@@ -107,8 +107,9 @@
   }
 
   /** Records that the answer to a heartbeat carries an attempt's run command. */
-  void recordRunSent(Attempt attempt, Heartbeat heartbeat) {
+  void recordRunSent(Worker worker, Attempt attempt, Heartbeat heartbeat) {
     attempt.markRunSent(heartbeat.incarnation(), heartbeat.sequence());
+    worker.onRunSent(attempt.name(), attempt.number(), nowMicros);
     tracer.runSent(attempt.traceId());
   }
 
--- a/src/main/java/gladeknot/lifecycle/HeartbeatReconciler.java
+++ b/src/main/java/gladeknot/lifecycle/HeartbeatReconciler.java
@@ -9,8 +9,10 @@
 import gladeknot.workers.Worker;
 import gladeknot.workers.WorkerCommand;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -76,6 +78,10 @@
 
     private final Set<String> listed = new HashSet<>();
     private final List<WorkerCommand> purges = new ArrayList<>();
+
+    /** Purges that wait until no copy of the attempt's run command can arrive, by task. */
+    private final Map<String, WorkerCommand> withheldPurges = new HashMap<>();
+
     private final List<WorkerCommand> kills = new ArrayList<>();
     private final List<WorkerCommand> runs = new ArrayList<>();
 
@@ -109,12 +115,21 @@
 
     private void reconcileUnassigned(Heartbeat.TaskStatus status) {
       if (status.ended()) {
-        purges.add(new WorkerCommand.Purge(status.name(), status.attempt()));
+        purge(status);
       } else {
         kills.add(WorkerCommand.Kill.immediately(status.name(), status.attempt()));
       }
     }
 
+    private void purge(Heartbeat.TaskStatus status) {
+      WorkerCommand purge = new WorkerCommand.Purge(status.name(), status.attempt());
+      if (worker.mayReceiveRun(status.name(), status.attempt(), attempts.nowMicros())) {
+        withheldPurges.put(status.name(), purge);
+      } else {
+        purges.add(purge);
+      }
+    }
+
     /**
      * Kills a closed attempt that still runs: the task must not keep running until its end is
      * committed.
@@ -168,8 +183,20 @@
           attempts.onLost(attempt, LossReason.SHARE_EXCEEDED);
         }
       } else if (membership.permits(ControlAction.SEND_RUN, shard)) {
-        attempts.recordRunSent(attempt, heartbeat);
+        attempts.recordRunSent(worker, attempt, heartbeat);
         runs.add(new WorkerCommand.Run(attempt.name(), attempt.number()));
+        makeWayFor(attempt);
+      }
+    }
+
+    /**
+     * Has an ended attempt of the same task purged, because a worker refuses a task that it has
+     * with another attempt. For the same reason, no copy can start the ended attempt again.
+     */
+    private void makeWayFor(Attempt attempt) {
+      WorkerCommand purge = withheldPurges.remove(attempt.name());
+      if (purge != null) {
+        purges.add(purge);
       }
     }
 
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -29,6 +29,7 @@
   private WorkerSession session = new WorkerSession();
   private final WorkerReachability reachability = new WorkerReachability();
   private final ImageCache imageCache = new ImageCache();
+  private final RecentRuns recentRuns = new RecentRuns();
   private final WorkerFailures failures = new WorkerFailures();
   private final RefusedSizes refusedSizes =
       new RefusedSizes(REFUSED_SIZE_MICROS, MAX_REFUSED_SIZE_DOUBLINGS);
@@ -143,6 +144,19 @@
     session.onAnswered(nowMicros, term);
   }
 
+  /** Records that an answer carries an attempt's run command. */
+  public void onRunSent(String task, long attempt, long nowMicros) {
+    recentRuns.onSent(task, attempt, nowMicros);
+  }
+
+  /**
+   * Returns whether a late copy of an attempt's run command may still be carried out. The attempt
+   * must then not be purged, or it would start again.
+   */
+  public boolean mayReceiveRun(String task, long attempt, long nowMicros) {
+    return recentRuns.mayArrive(task, attempt, nowMicros);
+  }
+
   /** Records that the worker has restarted without the tasks that were on it. */
   void onRestart() {
     session.onRestart();
--- a/src/test/java/gladeknot/standin/FakeWorker.java
+++ b/src/test/java/gladeknot/standin/FakeWorker.java
@@ -252,7 +252,7 @@
       return;
     }
     highestToken = receivedToken;
-    leaseRenewedMicros = sentMicros;
+    leaseRenewedMicros = Math.max(leaseRenewedMicros, sentMicros);
     Json.objects(answer, "orders").forEach(this::execute);
   }
 
--- a/src/test/java/gladeknot/standin/FaultInjection.java
+++ b/src/test/java/gladeknot/standin/FaultInjection.java
@@ -30,6 +30,7 @@
   private Optional<HeldCommit> heldCommit = Optional.empty();
   private boolean stateOutage;
   private boolean duplicateHeartbeats;
+  private boolean copiesOfMessages;
   private int commitAnswersToLose;
   private long lostCommitDelayMicros;
   private double lateCommitShare;
@@ -180,6 +181,14 @@
     duplicateHeartbeats = on;
   }
 
+  /**
+   * Turns late copies on or off: of heartbeats, of the answers to them as long as the worker may
+   * still carry them out, and of direct commands.
+   */
+  public void copyMessages(boolean on) {
+    copiesOfMessages = on;
+  }
+
   private static void set(Set<Integer> nodes, int node, boolean on) {
     if (on) {
       nodes.add(node);
@@ -278,4 +287,8 @@
   boolean duplicatesHeartbeats() {
     return duplicateHeartbeats;
   }
+
+  boolean copiesMessages() {
+    return copiesOfMessages;
+  }
 }
--- a/src/test/java/gladeknot/standin/HeartbeatSender.java
+++ b/src/test/java/gladeknot/standin/HeartbeatSender.java
@@ -17,6 +17,8 @@
   private static final long TIMEOUT_MICROS = 4 * MICROS_PER_SECOND;
   private static final long LATENCY_MICROS = 1_000;
   private static final int HEARTBEATS_PER_DUPLICATE = 4;
+  private static final double MIN_COPY_DELAY_MICROS = 10_000;
+  private static final double COPY_DELAY_RANGE = 3_000;
   private static final long MIN_DUPLICATE_DELAY_MICROS = MICROS_PER_SECOND;
   private static final long DUPLICATE_DELAY_SPREAD_MICROS = 3 * ClusterSettings.LEASE_MICROS;
 
@@ -77,6 +79,7 @@
           }
         });
     duplicate(heartbeat);
+    copy(heartbeat);
     if (!controllers.isUp(pending.sentTo) || machine.blocksOutbound()) {
       giveUp(machine, pending);
     } else if (faults.connectsWorkers(pending.sentTo, machine.zone())
@@ -87,12 +90,51 @@
 
   private void finish(SimulatedMachine machine, Pending pending) {
     pending.finished = true;
-    machine.heartbeatOver();
+    if (machine.worker() == pending.worker) {
+      machine.heartbeatOver();
+    }
   }
 
   private void giveUp(SimulatedMachine machine, Pending pending) {
     finish(machine, pending);
-    machine.tryNextController(controllers.count(), clock.now());
+    if (machine.worker() == pending.worker) {
+      machine.tryNextController(controllers.count(), clock.now());
+    }
+  }
+
+  /** Sends a copy of a heartbeat to each controller, each after a delay of its own. */
+  private void copy(Map<String, Object> heartbeat) {
+    if (!faults.copiesMessages()) {
+      return;
+    }
+    for (int controller = 0; controller < controllers.count(); controller++) {
+      int target = controller;
+      clock.schedule(copyDelayMicros(), () -> request(target, heartbeat, response -> {}));
+    }
+  }
+
+  /** Returns the delay of a copy, from a hundredth of a second to half a minute. */
+  private long copyDelayMicros() {
+    return (long) (MIN_COPY_DELAY_MICROS * Math.pow(COPY_DELAY_RANGE, random.nextDouble()));
+  }
+
+  /**
+   * Delivers a copy of an answer once more before the worker would drop it. The connection on which
+   * it comes ends with the machine.
+   */
+  private void copyAnswer(SimulatedMachine machine, Pending pending, Map<String, Object> body) {
+    if (!faults.copiesMessages()) {
+      return;
+    }
+    long delayMicros =
+        Math.min(copyDelayMicros(), pending.sentMicros + TIMEOUT_MICROS - clock.now());
+    clock.schedule(
+        Math.max(1, delayMicros),
+        () -> {
+          if (machine.worker() == pending.worker && !machine.isDead() && !machine.isFrozen()) {
+            machine.worker().handleResponse(body, pending.sentMicros, pending.incarnation);
+          }
+        });
   }
 
   private void duplicate(Map<String, Object> heartbeat) {
@@ -149,6 +191,7 @@
     if (status == 200) {
       if (!machine.isDead()) {
         machine.worker().handleResponse(body, pending.sentMicros, pending.incarnation);
+        copyAnswer(machine, pending, body);
       }
     } else if (status == 421 && owner != null) {
       int target = Integer.parseInt(owner.substring(owner.lastIndexOf('-') + 1));
--- a/src/test/java/gladeknot/standin/SimulatedMachine.java
+++ b/src/test/java/gladeknot/standin/SimulatedMachine.java
@@ -60,6 +60,8 @@
   void reboot(FakeWorker fresh) {
     worker = fresh;
     startsChecked = 0;
+    awaitsResponse = false;
+    nextHeartbeatMicros = 0;
   }
 
   /** Freezes the machine; commands that arrive meanwhile are executed when it resumes. */
--- a/src/test/java/gladeknot/standin/SimulatedNetwork.java
+++ b/src/test/java/gladeknot/standin/SimulatedNetwork.java
@@ -31,6 +31,8 @@
    */
   private static final long WATCH_MARGIN_MICROS = 4 * MICROS_PER_SECOND;
 
+  private static final long MIN_LATE_COMMAND_MICROS = 100_000;
+  private static final long LATE_COMMAND_SPREAD_MICROS = 16 * MICROS_PER_SECOND;
   private static final long MIN_LATE_COMMIT_MICROS = 2 * MICROS_PER_SECOND;
   private static final long LATE_COMMIT_SPREAD_MICROS = 10 * MICROS_PER_SECOND;
 
@@ -257,9 +259,25 @@
         || faults.links().drops(node, Direction.COMMANDS)) {
       return Optional.empty();
     }
+    copyCommand(machine.get(), call);
     return machine.get().serve(call);
   }
 
+  /** Delivers a copy of a direct command later, without an answer. */
+  private void copyCommand(SimulatedMachine machine, Outbox.Call call) {
+    if (faults.copiesMessages() && call.path().equals("/orders")) {
+      clock.schedule(
+          MIN_LATE_COMMAND_MICROS + random.nextLong(LATE_COMMAND_SPREAD_MICROS),
+          () -> {
+            try {
+              machine.serve(call);
+            } catch (IOException e) {
+              throw new IllegalStateException(e);
+            }
+          });
+    }
+  }
+
   /**
    * Returns a transaction as the controller's version would send it. Reports writes that a
    * controller of the first version could not read.
