One place reads the seeds of random tests

QuotaRandomFaultsTest and SplitRandomFaultsTest read the system property gladeknot.seeds by copies of the same lines; TestSeeds does it now. Seeds and draws stay as they are.

--- a/src/test/java/gladeknot/app/QuotaRandomFaultsTest.java
+++ b/src/test/java/gladeknot/app/QuotaRandomFaultsTest.java
@@ -3,10 +3,12 @@
 import static gladeknot.standin.SimulatedCluster.MICROS_PER_SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.google.common.primitives.Longs;
 import gladeknot.standin.ClusterScale;
 import gladeknot.standin.RandomFaults;
 import gladeknot.standin.SimulatedCluster;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestSeeds;
 import gladeknot.standin.TestTeams;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,7 +26,6 @@
  * -Dtest=QuotaRandomFaultsTest -Dgladeknot.seeds=FIRST,COUNT}.
  */
 class QuotaRandomFaultsTest {
-  private static final String SEEDS_PROPERTY = "gladeknot.seeds";
   private static final long FIRST_SEED = 1;
   private static final long SEED_COUNT = 16;
 
@@ -44,15 +45,8 @@
           TestTeams.team("lab", 4_000, 0, 4_000, 8_000));
 
   private static LongStream seeds() {
-    String property = System.getProperty(SEEDS_PROPERTY, "");
-    if (property.isEmpty()) {
-      return LongStream.concat(
-          LongStream.range(FIRST_SEED, FIRST_SEED + SEED_COUNT),
-          LongStream.of(SEEDS_WITH_LOST_SERVICES));
-    }
-    String[] range = property.split(",");
-    long first = Long.parseLong(range[0]);
-    return LongStream.range(first, first + Long.parseLong(range[1]));
+    long[] random = TestSeeds.range(FIRST_SEED, SEED_COUNT);
+    return TestSeeds.selected(Longs.concat(random, SEEDS_WITH_LOST_SERVICES));
   }
 
   @TestFactory
--- a/src/test/java/gladeknot/app/SplitRandomFaultsTest.java
+++ b/src/test/java/gladeknot/app/SplitRandomFaultsTest.java
@@ -8,11 +8,11 @@
 import gladeknot.standin.ClusterScale;
 import gladeknot.standin.SimulatedCluster;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestSeeds;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
@@ -25,7 +25,6 @@
  * -Dtest=SplitRandomFaultsTest -Dgladeknot.seeds=FIRST,COUNT}.
  */
 class SplitRandomFaultsTest {
-  private static final String SEEDS_PROPERTY = "gladeknot.seeds";
   private static final long FIRST_SEED = 1;
   private static final long SEED_COUNT = 36;
   private static final int CONTROLLERS = 3;
@@ -49,19 +48,9 @@
   private static final long MAX_STEP_MICROS = 13 * MICROS_PER_SECOND / 20;
   private static final long STATE_DELAY_MICROS = MICROS_PER_SECOND / 5;
 
-  private static LongStream seeds() {
-    String property = System.getProperty(SEEDS_PROPERTY, "");
-    if (property.isEmpty()) {
-      return LongStream.range(FIRST_SEED, FIRST_SEED + SEED_COUNT);
-    }
-    String[] range = property.split(",");
-    long first = Long.parseLong(range[0]);
-    return LongStream.range(first, first + Long.parseLong(range[1]));
-  }
-
   @TestFactory
   Stream<DynamicTest> eachTaskStaysInOneSlice() {
-    return seeds()
+    return TestSeeds.selected(TestSeeds.range(FIRST_SEED, SEED_COUNT))
         .mapToObj(
             seed ->
                 DynamicTest.dynamicTest(
