Tell heartbeats from before a machine's restart by their token

What could happen: a machine was back at once with its counters anew. A late copy of a heartbeat from before its restart has higher counters, so it was taken for the newest one; it carried the present term's token, and the attempts that it did not list were taken for gone and started elsewhere while they ran on the machine.

Heartbeats with a token of the term of the restart or below prove no absence, renew or shorten no lease, and what they list as ended counts only if no run command was sent since. An attempt whose run command may still arrive is not lost when a restart is seen.

--- a/src/main/java/gladeknot/lifecycle/HeartbeatReconciler.java
+++ b/src/main/java/gladeknot/lifecycle/HeartbeatReconciler.java
@@ -70,9 +70,10 @@
     private final int shard;
 
     /**
-     * True if the heartbeat was sent under this controller's term. A heartbeat of an earlier term
-     * may have been delayed: an attempt that it lists as ended has ended, but an attempt that it
-     * doesn't list may have started since.
+     * True if the heartbeat was sent under this controller's term and after the machine's last
+     * restart. Any other heartbeat may have been delayed: an attempt that it lists as ended has
+     * ended, unless its run command was sent since, and an attempt that it doesn't list may have
+     * started since.
      */
     private final boolean ofCurrentTerm;
 
@@ -89,7 +90,9 @@
       this.worker = worker;
       this.heartbeat = heartbeat;
       this.shard = worker.shard();
-      this.ofCurrentTerm = heartbeat.fencingToken() >= membership.term(shard);
+      this.ofCurrentTerm =
+          heartbeat.fencingToken() >= membership.term(shard)
+              && !worker.mayPrecedeRestart(heartbeat);
     }
 
     void reconcileListed(Heartbeat.TaskStatus status) {
@@ -106,7 +109,9 @@
       if (attempt.closed()) {
         killIfNotEnded(status);
       } else if (status.ended()) {
-        attempts.onEnded(worker, attempt, status);
+        if (ofCurrentTerm || attempt.runSentIncarnation() == 0) {
+          attempts.onEnded(worker, attempt, status);
+        }
       } else {
         attempts.onObserved(worker, attempt, status);
         reconcileLive(attempt);
--- a/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
+++ b/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
@@ -228,18 +228,25 @@
 
   /**
    * Handles the restart of a worker. Attempts whose run command was sent are lost if the worker's
-   * status does not list them.
+   * status does not list them, except those whose run command may still arrive.
    */
   public void onWorkerRestart(Worker worker, Heartbeat status) {
     Set<String> listed = new HashSet<>();
     status.tasks().forEach(task -> listed.add(task.name()));
     for (Attempt attempt : List.copyOf(worker.attempts().values())) {
-      if (isLiveInOwnedShard(attempt) && attempt.runSent() && !listed.contains(attempt.name())) {
+      if (isLiveInOwnedShard(attempt)
+          && attempt.runSent()
+          && !listed.contains(attempt.name())
+          && !mayReceiveRun(worker, attempt)) {
         attempts.onLost(attempt, LossReason.WORKER_RESTARTED);
       }
     }
   }
 
+  private boolean mayReceiveRun(Worker worker, Attempt attempt) {
+    return worker.mayReceiveRun(attempt.name(), attempt.number(), attempts.nowMicros());
+  }
+
   /** Handles the confirmed release of a machine: all attempts on it are lost. */
   public void onWorkerReleased(String host) {
     Worker worker = workers.get(host);
--- a/src/main/java/gladeknot/membership/Membership.java
+++ b/src/main/java/gladeknot/membership/Membership.java
@@ -281,7 +281,8 @@
 
   /**
    * Has a new term drawn for a shard, because one of its workers has seen a fencing token above the
-   * current term.
+   * current term, or because messages from before one of its machines restarted must be told from
+   * later ones.
    */
   public void raiseTerm(int shard) {
     markInDoubt(shard);
--- a/src/main/java/gladeknot/workers/HeartbeatHandler.java
+++ b/src/main/java/gladeknot/workers/HeartbeatHandler.java
@@ -89,6 +89,7 @@
   /** Sets the current time and answers held heartbeats that need not wait any longer. */
   public void tick(long currentMicros) {
     nowMicros = currentMicros;
+    restartProbe.tick(currentMicros);
     remoteHeartbeats.tick(currentMicros);
     longPolls.tick(currentMicros);
   }
@@ -156,6 +157,11 @@
       answers.refuse(request, Refusal.OUT_OF_ORDER);
       return;
     }
+    if (last != null && RestartProbe.showsRestart(last, heartbeat)) {
+      restartProbe.onRestart(worker);
+      answers.refuse(request, Refusal.TERM_BEING_RAISED);
+      return;
+    }
     HeartbeatObserver.Arrival arrival = arrival(heartbeat, shard, true);
     String otherNode = observer.redirect(arrival, heartbeat.tasks().isEmpty());
     if (otherNode != null) {
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -157,9 +157,17 @@
     return recentRuns.mayArrive(task, attempt, nowMicros);
   }
 
-  /** Records that the worker has restarted without the tasks that were on it. */
-  void onRestart() {
-    session.onRestart();
+  /** Records that the worker has restarted under a term, without the tasks that were on it. */
+  void onRestart(long term) {
+    session.onRestart(term);
+  }
+
+  /**
+   * Returns whether a heartbeat may have been sent before the machine's last restart, so that what
+   * it does not list may have started since.
+   */
+  public boolean mayPrecedeRestart(Heartbeat candidate) {
+    return session.mayPrecedeRestart(candidate);
   }
 
   /** Discards the session, for example when the shard was acquired from another controller. */
--- a/src/main/java/gladeknot/workers/WorkerSession.java
+++ b/src/main/java/gladeknot/workers/WorkerSession.java
@@ -14,6 +14,7 @@
 
   private static final double MICROS_PER_SECOND = 1e6;
   private static final long UNKNOWN_TERM = 0;
+  private static final long NO_TOKEN = -1;
 
   private Heartbeat heartbeat;
   private long heartbeatMicros;
@@ -27,9 +28,12 @@
 
   private long reclaimAtMicros;
 
+  /** Tokens up to this one may be in heartbeats from before the machine's last restart. */
+  private long tokenAtRestart = NO_TOKEN;
+
   /** Records a heartbeat that is newer than all earlier ones. */
   void onHeartbeat(Heartbeat newest, long nowMicros) {
-    if (newest.fencingToken() < answeredTerm) {
+    if (newest.fencingToken() < answeredTerm && !mayPrecedeRestart(newest)) {
       // The worker has not seen the token of the newest answer. The answer was lost and renewed no
       // lease.
       answeredMicros = previousAnsweredMicros;
@@ -53,12 +57,21 @@
   }
 
   /**
-   * Records that the machine has restarted. Earlier heartbeats no longer count for the order of
-   * later ones.
+   * Records that the machine has restarted under a term. Earlier heartbeats no longer count for the
+   * order of later ones.
    */
-  void onRestart() {
+  void onRestart(long term) {
     heartbeat = null;
     answeredTerm = UNKNOWN_TERM;
+    tokenAtRestart = term;
+  }
+
+  /**
+   * Returns whether a heartbeat may have been sent before the machine's last restart. The order of
+   * heartbeats does not tell, because the machine's counters began anew.
+   */
+  boolean mayPrecedeRestart(Heartbeat candidate) {
+    return candidate.fencingToken() <= tokenAtRestart;
   }
 
   /** Returns the newest heartbeat; null if there is none. */
--- a/src/test/java/gladeknot/app/LateCopiesTest.java
+++ b/src/test/java/gladeknot/app/LateCopiesTest.java
@@ -6,11 +6,11 @@
 import gladeknot.standin.ClusterScale;
 import gladeknot.standin.SimulatedCluster;
 import gladeknot.standin.TestJobs;
+import gladeknot.standin.TestSeeds;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
@@ -23,7 +23,6 @@
  * seeds: {@code mvn test -Dtest=LateCopiesTest -Dgladeknot.seeds=FIRST,COUNT}.
  */
 class LateCopiesTest {
-  private static final String SEEDS_PROPERTY = "gladeknot.seeds";
   private static final long FIRST_SEED = 1;
   private static final long SEED_COUNT = 12;
   private static final int CONTROLLERS = 3;
@@ -36,23 +35,18 @@
     /** Machines end and are back at once with their counters reset. */
     MACHINES,
     /** Both. */
-    BOTH
-  }
-
-  private static LongStream seeds() {
-    String property = System.getProperty(SEEDS_PROPERTY, FIRST_SEED + "," + SEED_COUNT);
-    String[] range = property.split(",");
-    long first = Long.parseLong(range[0]);
-    return LongStream.range(first, first + Long.parseLong(range[1]));
+    BOTH,
+    /** Both, and controllers are away until others have taken their shards over. */
+    HAND_OVERS
   }
 
   @TestFactory
   Stream<DynamicTest> noTaskRunsTwiceOrAfterItsCancellation() {
-    return seeds()
+    return TestSeeds.selected(TestSeeds.range(FIRST_SEED, SEED_COUNT))
         .boxed()
         .flatMap(
             seed ->
-                Stream.of(Events.CONTROLLERS)
+                Stream.of(Events.values())
                     .map(
                         events ->
                             DynamicTest.dynamicTest(
@@ -96,6 +90,9 @@
     int node = random.nextInt(CONTROLLERS);
     switch (random.nextInt(8)) {
       case 0, 1 -> {
+        if (events == Events.HAND_OVERS && random.nextInt(3) == 0) {
+          return handOver(cluster, node, random);
+        }
         return events == Events.MACHINES ? "" : restartController(cluster, node, random);
       }
       case 2, 3 -> {
@@ -124,6 +121,14 @@
     return "restart controller " + node;
   }
 
+  /** Keeps a controller away until its shard has another owner, to which copies then go. */
+  private static String handOver(SimulatedCluster cluster, int node, SplittableRandom random) {
+    cluster.kill(node);
+    cluster.run(7 * MICROS_PER_SECOND + random.nextLong(4 * MICROS_PER_SECOND));
+    cluster.start(node);
+    return "hand-over of " + node;
+  }
+
   private static String rebootMachine(SimulatedCluster cluster, SplittableRandom random) {
     int count = cluster.machineCount();
     if (count == 0) {
