--- a/src/main/java/gladeknot/fleet/InstanceCatalog.java
+++ b/src/main/java/gladeknot/fleet/InstanceCatalog.java
@@ -20,12 +20,6 @@
 public final class InstanceCatalog {
   private static final double MICROS_PER_SECOND = 1e6;
 
-  /** Time for which the first refusal of a task excludes a type for its size, in microseconds. */
-  private static final long REFUSED_SIZE_MICROS = 60_000_000;
-
-  /** Maximum number of doublings; the longest exclusion is 16 minutes. */
-  private static final int MAX_REFUSED_SIZE_DOUBLINGS = 4;
-
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final Map<String, InstanceOffering> offerings = new LinkedHashMap<>();
 
@@ -55,10 +49,7 @@
 
   /** Records that a machine of a type has refused a task that should fit. */
   public void onRefused(String typeName, TaskSize size, long nowMicros) {
-    refusedSizes
-        .computeIfAbsent(
-            typeName, name -> new RefusedSizes(REFUSED_SIZE_MICROS, MAX_REFUSED_SIZE_DOUBLINGS))
-        .record(size, nowMicros);
+    refusedSizes.computeIfAbsent(typeName, name -> RefusedSizes.ofType()).record(size, nowMicros);
     update(listedTypes, nowMicros);
   }
 
--- a/src/main/java/gladeknot/lifecycle/AttemptTracker.java
+++ b/src/main/java/gladeknot/lifecycle/AttemptTracker.java
@@ -109,7 +109,7 @@
   /** Records that the answer to a heartbeat carries an attempt's run command. */
   void recordRunSent(Worker worker, Attempt attempt, Heartbeat heartbeat) {
     attempt.markRunSent(heartbeat.incarnation(), heartbeat.sequence());
-    worker.onRunSent(attempt.name(), attempt.number(), nowMicros);
+    worker.recentRuns().onSent(attempt.name(), attempt.number(), nowMicros);
     tracer.runSent(attempt.traceId());
   }
 
@@ -176,7 +176,7 @@
     worker.quarantineUntil(nowMicros + REFUSED_START_QUARANTINE_MICROS);
     Slice slice = attempt.slice();
     TaskSize size = new TaskSize(slice.cpus(), slice.gpus(), slice.memory());
-    int refusals = worker.recordRefusal(size, nowMicros);
+    int refusals = worker.refusedSizes().record(size, nowMicros);
     if (refusals >= MAX_REFUSALS || !hasOtherTask(worker, attempt)) {
       LOG.warn("machine type refuses task type={} job={}", worker.type(), slice.job());
       refusedStarts.onRefused(worker.type(), size, nowMicros);
--- a/src/main/java/gladeknot/lifecycle/HeartbeatReconciler.java
+++ b/src/main/java/gladeknot/lifecycle/HeartbeatReconciler.java
@@ -128,7 +128,7 @@
 
     private void purge(Heartbeat.TaskStatus status) {
       WorkerCommand purge = new WorkerCommand.Purge(status.name(), status.attempt());
-      if (worker.mayReceiveRun(status.name(), status.attempt(), attempts.nowMicros())) {
+      if (worker.recentRuns().mayArrive(status.name(), status.attempt(), attempts.nowMicros())) {
         withheldPurges.put(status.name(), purge);
       } else {
         purges.add(purge);
--- a/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
+++ b/src/main/java/gladeknot/lifecycle/TaskLifecycle.java
@@ -244,7 +244,7 @@
   }
 
   private boolean mayReceiveRun(Worker worker, Attempt attempt) {
-    return worker.mayReceiveRun(attempt.name(), attempt.number(), attempts.nowMicros());
+    return worker.recentRuns().mayArrive(attempt.name(), attempt.number(), attempts.nowMicros());
   }
 
   /** Handles the confirmed release of a machine: all attempts on it are lost. */
--- a/src/main/java/gladeknot/scheduling/CandidateMachine.java
+++ b/src/main/java/gladeknot/scheduling/CandidateMachine.java
@@ -148,7 +148,8 @@
 
   /** Returns whether the machine has refused such a task lately. */
   private boolean refuses(JobSpec spec) {
-    return worker.hasRefusals() && worker.refuses(TaskSize.of(spec), nowMicros);
+    return !worker.refusedSizes().isEmpty()
+        && worker.refusedSizes().excludes(TaskSize.of(spec), nowMicros);
   }
 
   long cpusAfterTermination() {
--- a/src/main/java/gladeknot/workers/RecentRuns.java
+++ b/src/main/java/gladeknot/workers/RecentRuns.java
@@ -9,7 +9,7 @@
  * answer may still reach the worker. It has no effect while the worker knows the attempt, but would
  * start the attempt once more after a purge.
  */
-final class RecentRuns {
+public final class RecentRuns {
   /**
    * Time after which no copy of an answer is carried out any more, in microseconds. A worker drops
    * what arrives 4 s after it sent its heartbeat; the rest covers the drift of its clock.
@@ -24,15 +24,18 @@
   private final Map<AttemptKey, Long> sentMicros = new HashMap<>();
 
   /** Records that an answer carries an attempt's run command. */
-  void onSent(String task, long attempt, long nowMicros) {
+  public void onSent(String task, long attempt, long nowMicros) {
     forgetBefore(nowMicros - ANSWER_VALID_MICROS);
     AttemptKey key = new AttemptKey(task, attempt);
     runs.add(new SentRun(key, nowMicros));
     sentMicros.put(key, nowMicros);
   }
 
-  /** Returns whether a copy of an attempt's run command may still be carried out. */
-  boolean mayArrive(String task, long attempt, long nowMicros) {
+  /**
+   * Returns whether a copy of an attempt's run command may still be carried out. The attempt must
+   * then not be purged, or it would start again.
+   */
+  public boolean mayArrive(String task, long attempt, long nowMicros) {
     forgetBefore(nowMicros - ANSWER_VALID_MICROS);
     return sentMicros.containsKey(new AttemptKey(task, attempt));
   }
--- a/src/main/java/gladeknot/workers/RefusedSizes.java
+++ b/src/main/java/gladeknot/workers/RefusedSizes.java
@@ -11,6 +11,18 @@
  * further one, so that such tasks go elsewhere.
  */
 public final class RefusedSizes {
+  /** Time for which a machine's first refusal excludes a size, in microseconds. */
+  private static final long MACHINE_EXCLUSION_MICROS = 4_000_000;
+
+  /** Maximum number of doublings; a machine excludes a size for 17 minutes at most. */
+  private static final int MAX_MACHINE_DOUBLINGS = 8;
+
+  /** Time for which the first refusal excludes a type for a size, in microseconds. */
+  private static final long TYPE_EXCLUSION_MICROS = 60_000_000;
+
+  /** Maximum number of doublings; a type is excluded for 16 minutes at most. */
+  private static final int MAX_TYPE_DOUBLINGS = 4;
+
   /** Time after an exclusion after which its refusals are forgotten, in microseconds. */
   private static final long KEPT_MICROS = 600_000_000;
 
@@ -20,13 +32,17 @@
   private final int maxDoublings;
   private final Map<TaskSize, Refusals> bySize = new HashMap<>();
 
-  /**
-   * Creates an instance without refusals.
-   *
-   * @param exclusionMicros time for which the first refusal excludes a size, in microseconds
-   * @param maxDoublings maximum number of times that this time is doubled
-   */
-  public RefusedSizes(long exclusionMicros, int maxDoublings) {
+  /** Creates the sizes that a machine has refused; initially none. */
+  public static RefusedSizes ofMachine() {
+    return new RefusedSizes(MACHINE_EXCLUSION_MICROS, MAX_MACHINE_DOUBLINGS);
+  }
+
+  /** Creates the sizes that the machines of a type have refused; initially none. */
+  public static RefusedSizes ofType() {
+    return new RefusedSizes(TYPE_EXCLUSION_MICROS, MAX_TYPE_DOUBLINGS);
+  }
+
+  private RefusedSizes(long exclusionMicros, int maxDoublings) {
     this.exclusionMicros = exclusionMicros;
     this.maxDoublings = maxDoublings;
   }
--- a/src/main/java/gladeknot/workers/Worker.java
+++ b/src/main/java/gladeknot/workers/Worker.java
@@ -13,12 +13,6 @@
 public final class Worker {
   private static final WorkerRecord UNREGISTERED = new WorkerRecord(0, "", "", false, 0, false);
 
-  /** Time for which a machine's first refusal excludes a size of tasks, in microseconds. */
-  private static final long REFUSED_SIZE_MICROS = 4_000_000;
-
-  /** Maximum number of doublings; the longest exclusion is about 17 minutes. */
-  private static final int MAX_REFUSED_SIZE_DOUBLINGS = 8;
-
   private final String host;
   private WorkerRecord record = UNREGISTERED;
   private boolean registered;
@@ -31,8 +25,7 @@
   private final ImageCache imageCache = new ImageCache();
   private final RecentRuns recentRuns = new RecentRuns();
   private final WorkerFailures failures = new WorkerFailures();
-  private final RefusedSizes refusedSizes =
-      new RefusedSizes(REFUSED_SIZE_MICROS, MAX_REFUSED_SIZE_DOUBLINGS);
+  private final RefusedSizes refusedSizes = RefusedSizes.ofMachine();
 
   /** Attempts of all shards by task name, according to the cache. */
   private final Map<String, Attempt> attempts = new LinkedHashMap<>();
@@ -61,14 +54,7 @@
 
   /** Handles the deletion of the machine's record, which means that the machine is gone. */
   void onDeregistered() {
-    record =
-        new WorkerRecord(
-            record.shard(),
-            record.type(),
-            record.zone(),
-            record.spot(),
-            record.launchedWallMicros(),
-            true);
+    record = record.with(record.shard(), true);
     registered = false;
   }
 
@@ -79,14 +65,7 @@
 
   /** Returns the stored form of the record with the given shard and terminating flag. */
   public String encodedRecord(int inShard, boolean isTerminating) {
-    return WorkerRecordCodec.encode(
-        new WorkerRecord(
-            inShard,
-            record.type(),
-            record.zone(),
-            record.spot(),
-            record.launchedWallMicros(),
-            isTerminating));
+    return WorkerRecordCodec.encode(record.with(inShard, isTerminating));
   }
 
   /**
@@ -144,17 +123,9 @@
     session.onAnswered(nowMicros, term);
   }
 
-  /** Records that an answer carries an attempt's run command. */
-  public void onRunSent(String task, long attempt, long nowMicros) {
-    recentRuns.onSent(task, attempt, nowMicros);
-  }
-
-  /**
-   * Returns whether a late copy of an attempt's run command may still be carried out. The attempt
-   * must then not be purged, or it would start again.
-   */
-  public boolean mayReceiveRun(String task, long attempt, long nowMicros) {
-    return recentRuns.mayArrive(task, attempt, nowMicros);
+  /** Returns the run commands that answers to the worker have carried lately. */
+  public RecentRuns recentRuns() {
+    return recentRuns;
   }
 
   /** Records that the worker has restarted under a term, without the tasks that were on it. */
@@ -289,22 +260,9 @@
 
   // Failures.
 
-  /**
-   * Records that the machine has refused a task for lack of resources; returns the number of
-   * refusals of such tasks that are remembered.
-   */
-  public int recordRefusal(TaskSize size, long nowMicros) {
-    return refusedSizes.record(size, nowMicros);
-  }
-
-  /** Returns whether the machine is not to be chosen for tasks of a size that it has refused. */
-  public boolean refuses(TaskSize size, long nowMicros) {
-    return refusedSizes.excludes(size, nowMicros);
-  }
-
-  /** Returns whether the machine has refused tasks for lack of resources. */
-  public boolean hasRefusals() {
-    return !refusedSizes.isEmpty();
+  /** Returns the sizes of tasks that the machine has refused for lack of resources. */
+  public RefusedSizes refusedSizes() {
+    return refusedSizes;
   }
 
   /** Counts a failure of a job's task on the machine and quarantines the machine. */
--- a/src/main/java/gladeknot/workers/WorkerRecord.java
+++ b/src/main/java/gladeknot/workers/WorkerRecord.java
@@ -17,4 +17,9 @@
     String zone,
     boolean spot,
     long launchedWallMicros,
-    boolean terminating) {}
+    boolean terminating) {
+  /** Returns this record with another shard and terminating flag. */
+  WorkerRecord with(int newShard, boolean newTerminating) {
+    return new WorkerRecord(newShard, type, zone, spot, launchedWallMicros, newTerminating);
+  }
+}
