--- a/src/main/java/gladeknot/quota/QuotaLedger.java
+++ b/src/main/java/gladeknot/quota/QuotaLedger.java
@@ -30,6 +30,7 @@
   private final SliceRegistry slices;
   private final Map<TeamShard, ResourceAmount> pendingTransfers = new HashMap<>();
   private final Map<String, DecodedRecord> decodedRecords = new HashMap<>();
+  private final Map<String, String> keysOfTeams = new HashMap<>();
 
   /** A record and the entry that it was decoded from. */
   private record DecodedRecord(Entry entry, QuotaRecord record) {}
@@ -40,11 +41,12 @@
     this.stateStore = stateStore;
     this.membership = membership;
     this.slices = slices;
+    settings.teams().keySet().forEach(team -> keysOfTeams.put(team, QuotaRecordCodec.key(team)));
   }
 
   /** Returns a team's record in the watch cache; empty if there is none. */
   Optional<QuotaRecord> record(String team) {
-    Entry entry = stateStore.get(QuotaRecordCodec.key(team));
+    Entry entry = stateStore.get(key(team));
     if (entry == null) {
       return Optional.empty();
     }
@@ -67,7 +69,13 @@
 
   /** Returns the revision of a team's record in the watch cache; 0 if there is none. */
   long recordRevision(String team) {
-    return stateStore.modRevision(QuotaRecordCodec.key(team));
+    return stateStore.modRevision(key(team));
+  }
+
+  /** Returns the key of a team's record, which every decision on a start looks up. */
+  private String key(String team) {
+    String key = keysOfTeams.get(team);
+    return key == null ? QuotaRecordCodec.key(team) : key;
   }
 
   /** Returns a shard's share in the team's record; zero if it is unproven or there is no record. */
--- a/src/main/java/gladeknot/state/NamedKeys.java
+++ b/src/main/java/gladeknot/state/NamedKeys.java
@@ -60,13 +60,19 @@
 
   /** Returns whether a name consists of characters that every key may contain. */
   private static boolean isPlain(String name) {
-    return name.codePoints().noneMatch(NamedKeys::isUnsafe);
+    for (int i = 0; i < name.length(); i++) {
+      if (!isPrintableAscii(name.charAt(i))) {
+        return name.codePoints().noneMatch(NamedKeys::isUnsafe);
+      }
+    }
+    return true;
+  }
+
+  private static boolean isPrintableAscii(int codePoint) {
+    return codePoint > ' ' && codePoint <= '~';
   }
 
   private static boolean isUnsafe(int codePoint) {
-    if (codePoint > ' ' && codePoint <= '~') {
-      return false;
-    }
     return Character.isWhitespace(codePoint)
         || Character.isSpaceChar(codePoint)
         || Character.isISOControl(codePoint)
